--- /dev/null
+++ b/cmake/limpetlink.cmake
@@ -0,0 +1,65 @@
+# Targets of one shape: every library is limpetlink_NAME with the alias limpetlink::NAME,
+# every test program is NAME_test and registers its cases with ctest.
+
+find_package(Threads REQUIRED)
+find_package(absl REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(Boost REQUIRED COMPONENTS log log_setup thread system)
+find_package(CURL REQUIRED)
+find_package(OpenSSL REQUIRED)
+if(LIMPETLINK_BUILD_TESTS)
+  find_package(Catch2 2 REQUIRED)
+  include(Catch)
+endif()
+
+add_library(limpetlink_options INTERFACE)
+add_library(limpetlink::options ALIAS limpetlink_options)
+target_compile_options(limpetlink_options INTERFACE
+  -Wall -Wextra -Wpedantic -Wconversion -Wnon-virtual-dtor -Wold-style-cast
+  -Woverloaded-virtual -Wimplicit-fallthrough)
+if(LIMPETLINK_WERROR)
+  target_compile_options(limpetlink_options INTERFACE -Werror)
+endif()
+if(LIMPETLINK_SANITIZER STREQUAL "address")
+  target_compile_options(limpetlink_options INTERFACE
+    -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+  target_link_options(limpetlink_options INTERFACE -fsanitize=address,undefined)
+elseif(LIMPETLINK_SANITIZER STREQUAL "thread")
+  target_compile_options(limpetlink_options INTERFACE -fsanitize=thread -fno-omit-frame-pointer)
+  target_link_options(limpetlink_options INTERFACE -fsanitize=thread)
+endif()
+
+# limpetlink_library(NAME SOURCES a.cc ... [DEPS limpetlink::x ...])
+function(limpetlink_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  add_library(limpetlink_${name} STATIC ${ARG_SOURCES})
+  add_library(limpetlink::${name} ALIAS limpetlink_${name})
+  target_include_directories(limpetlink_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(limpetlink_${name} PUBLIC ${ARG_DEPS} PRIVATE limpetlink_options)
+endfunction()
+
+# limpetlink_program(NAME SOURCES a.cc ... [DEPS ...]): a binary called NAME.
+function(limpetlink_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPS} limpetlink_options)
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+# limpetlink_test(NAME SOURCES a_test.cc ... [DEPS ...] [LABEL core|process])
+# Catch2's main is compiled once, in limpetlink_catch_main.
+function(limpetlink_test name)
+  if(NOT LIMPETLINK_BUILD_TESTS)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "LABEL" "SOURCES;DEPS" ${ARGN})
+  if(NOT ARG_LABEL)
+    set(ARG_LABEL core)
+  endif()
+  add_executable(${name}_test ${ARG_SOURCES})
+  target_include_directories(${name}_test PRIVATE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
+  target_link_libraries(${name}_test PRIVATE ${ARG_DEPS} limpetlink_catch_main limpetlink_options)
+  catch_discover_tests(${name}_test TEST_PREFIX "${name}: "
+    PROPERTIES LABELS ${ARG_LABEL} TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/base/detail/time.h
@@ -0,0 +1,42 @@
+/// @file
+/// @brief Time as the core sees it: values handed in, never read from a clock.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace limpetlink {
+
+/// @brief Clock tag without now(): the core's time comes in with each step.
+struct CoreClock {
+  using duration = std::chrono::microseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<CoreClock, duration>;
+  static constexpr bool is_steady = true;
+};
+
+/// @brief A span of time in microseconds.
+using Duration = CoreClock::duration;
+/// @brief A point in the core's monotonic time.
+using Instant = CoreClock::time_point;
+
+/// @brief The latest representable time; stands for "never".
+inline constexpr Instant kNever = Instant::max();
+
+/// @brief Converts a duration to seconds.
+/// @param value the duration
+/// @return seconds, with a fraction
+inline double ToSeconds(Duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+
+/// @brief Converts seconds to a duration.
+/// @param value seconds, with a fraction
+/// @return the duration, rounded towards zero to a microsecond
+inline Duration FromSeconds(double value) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(value));
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,7 @@
+/// @file
+/// @brief The fleet document: everything operators decide, as one validated
+/// value.
+#pragma once
+
+#include "fleet/detail/document.h"
+#include "fleet/detail/parse.h"
