Read, check and write the fleet document; list differences and make patches

Cause: the frame's ParseFleet took any text and gave an empty document. Ruled out: a JSON-schema library (none served that fits nlohmann/json); the library's own patch, which matches lists by position and so rewrites all that follows an element removed from the front. Change: one parse function for each aggregate over a reader that collects every fault with its JSON pointer, checks across aggregates (twice, dangling, hidden rules, models without a route), keyed difference and keyed JSON patch, documents of both users at today's sizes, and docs/fleet.md. Conclusion: hosts and tools can rely on a validated document; the size of a patch at the target is not measured yet.

--- /dev/null
+++ b/src/fleet/check.cc
@@ -0,0 +1,184 @@
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "fleet/detail/aggregates.h"
+#include "fleet/detail/reader.h"
+
+namespace limpetlink {
+namespace {
+
+/// Remembers where each text stood first and reports the second place.
+class FirstPlaces {
+ public:
+  explicit FirstPlaces(FleetFaults* faults) : faults(faults) {}
+
+  void Add(const std::string& text, const std::string& pointer) {
+    if (text.empty()) {
+      return;  // the member is at fault already
+    }
+    const auto [place, added] = this->places.emplace(text, pointer);
+    if (!added) {
+      this->faults->push_back(
+          {pointer, absl::StrCat("stands already at ", place->second)});
+    }
+  }
+
+ private:
+  std::map<std::string, std::string> places;
+  FleetFaults* faults;
+};
+
+std::string At(std::string_view list, std::size_t index,
+               std::string_view member) {
+  const std::string element = ElementPointer(MemberPointer("", list), index);
+  return MemberPointer(element, member);
+}
+
+/// Checks one member of every element of a list for texts that stand twice.
+template <typename T, typename Get>
+void CheckUnique(const std::vector<T>& elements, std::string_view list,
+                 std::string_view member, Get get, FleetFaults* faults) {
+  FirstPlaces places(faults);
+  for (std::size_t i = 0; i < elements.size(); ++i) {
+    places.Add(get(elements[i]), At(list, i, member));
+  }
+}
+
+void CheckKeyDigests(const std::vector<Organisation>& organisations,
+                     FleetFaults* faults) {
+  FirstPlaces places(faults);
+  for (std::size_t i = 0; i < organisations.size(); ++i) {
+    const std::string list = At("organisations", i, "key_digests");
+    const auto& digests = organisations[i].key_digests;
+    for (std::size_t k = 0; k < digests.size(); ++k) {
+      places.Add(digests[k], ElementPointer(list, k));
+    }
+  }
+}
+
+void CheckAdapters(const std::vector<Model>& models, FleetFaults* faults) {
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    FirstPlaces places(faults);
+    const std::string list = At("models", i, "adapters");
+    for (std::size_t k = 0; k < models[i].adapters.size(); ++k) {
+      places.Add(models[i].adapters[k], ElementPointer(list, k));
+    }
+  }
+}
+
+template <typename T, typename Get>
+std::set<std::string> Collect(const std::vector<T>& elements, Get get) {
+  std::set<std::string> texts;
+  for (const T& element : elements) {
+    texts.insert(get(element));
+  }
+  return texts;
+}
+
+std::string NameOfModel(const Model& model) { return model.name; }
+std::string NameOfService(const Service& service) { return service.name; }
+std::string NameOfRoute(const Route& route) { return route.name; }
+std::string ModelOfRoute(const Route& route) { return route.model; }
+
+std::string IdOfDomain(const FailureDomain& domain) { return domain.id.value; }
+
+void CheckKnown(const std::set<std::string>& known, const std::string& text,
+                const std::string& pointer, std::string_view what,
+                FleetFaults* faults) {
+  if (!text.empty() && known.count(text) == 0) {
+    faults->push_back(
+        {pointer,
+         absl::StrCat("names no ", absl::string_view(what.data(), what.size()),
+                      " of this document: ", text)});
+  }
+}
+
+void CheckUpstreams(const FleetDocument& document, FleetFaults* faults) {
+  const auto models = Collect(document.models, NameOfModel);
+  const auto services = Collect(document.services, NameOfService);
+  const auto domains = Collect(document.failure_domains, IdOfDomain);
+  for (std::size_t i = 0; i < document.upstreams.size(); ++i) {
+    const Upstream& upstream = document.upstreams[i];
+    const bool engine = upstream.kind == UpstreamKind::kEngine;
+    CheckKnown(engine ? models : services, upstream.serves,
+               At("upstreams", i, "serves"), engine ? "model" : "service",
+               faults);
+    CheckKnown(domains, upstream.failure_domain.value,
+               At("upstreams", i, "failure_domain"), "failure domain", faults);
+  }
+}
+
+void CheckRoutes(const FleetDocument& document, FleetFaults* faults) {
+  const auto models = Collect(document.models, NameOfModel);
+  const auto routed = Collect(document.routes, ModelOfRoute);
+  for (std::size_t i = 0; i < document.routes.size(); ++i) {
+    CheckKnown(models, document.routes[i].model, At("routes", i, "model"),
+               "model", faults);
+  }
+  for (std::size_t i = 0; i < document.models.size(); ++i) {
+    if (routed.count(document.models[i].name) == 0) {
+      faults->push_back({At("models", i, "name"), "has no route"});
+    }
+  }
+}
+
+bool Covers(const ServiceRule& earlier, const ServiceRule& later) {
+  const bool method = earlier.method == "*" || earlier.method == later.method;
+  const bool path = later.path_prefix.compare(0, earlier.path_prefix.size(),
+                                              earlier.path_prefix) == 0;
+  return method && path;
+}
+
+void CheckRules(const std::vector<ServiceRule>& rules,
+                const std::string& pointer, FleetFaults* faults) {
+  for (std::size_t i = 1; i < rules.size(); ++i) {
+    const auto end = rules.begin() + static_cast<std::ptrdiff_t>(i);
+    const auto hiding =
+        std::find_if(rules.begin(), end, [&](const ServiceRule& earlier) {
+          return !earlier.method.empty() && !earlier.path_prefix.empty() &&
+                 Covers(earlier, rules[i]);
+        });
+    if (hiding != end) {
+      const auto index = static_cast<std::size_t>(hiding - rules.begin());
+      faults->push_back(
+          {ElementPointer(pointer, i),
+           absl::StrCat("is never reached: ", ElementPointer(pointer, index),
+                        " covers it")});
+    }
+  }
+}
+
+}  // namespace
+
+void CheckDuplicates(const FleetDocument& document, FleetFaults* faults) {
+  CheckUnique(document.failure_domains, "failure_domains", "id", IdOfDomain,
+              faults);
+  CheckUnique(
+      document.organisations, "organisations", "id",
+      [](const Organisation& organisation) { return organisation.id.value; },
+      faults);
+  CheckUnique(document.models, "models", "name", NameOfModel, faults);
+  CheckUnique(document.services, "services", "name", NameOfService, faults);
+  CheckUnique(
+      document.upstreams, "upstreams", "id",
+      [](const Upstream& upstream) { return upstream.id.value; }, faults);
+  CheckUnique(
+      document.upstreams, "upstreams", "url",
+      [](const Upstream& upstream) { return upstream.url; }, faults);
+  CheckUnique(document.routes, "routes", "name", NameOfRoute, faults);
+  CheckKeyDigests(document.organisations, faults);
+  CheckAdapters(document.models, faults);
+}
+
+void CheckReferences(const FleetDocument& document, FleetFaults* faults) {
+  CheckUpstreams(document, faults);
+  CheckRoutes(document, faults);
+  for (std::size_t i = 0; i < document.services.size(); ++i) {
+    CheckRules(document.services[i].rules, At("services", i, "rules"), faults);
+  }
+}
+
+}  // namespace limpetlink
--- a/src/fleet/detail/parse.h
+++ b/src/fleet/detail/parse.h
@@ -2,6 +2,7 @@
 /// @brief Reading and writing the fleet document.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,6 +11,10 @@
 
 namespace limpetlink {
 
+/// @brief Greatest size of a document's text in bytes: what the platform's
+/// object API holds in one value.
+inline constexpr std::size_t kMaxFleetBytes = 1000000;
+
 /// @brief One fault of a document.
 struct FleetFault {
   std::string
@@ -34,9 +39,17 @@
 /// @note Complexity: linear in the text's size, but for references (n log n).
 FleetParseResult ParseFleet(std::string_view text);
 
+/// @brief How a document is laid out as text.
+enum class FleetLayout {
+  kCompact,   ///< one line, for the platform
+  kIndented,  ///< one member a line, for version control
+};
+
 /// @brief Writes a document as JSON with a fixed order of members.
 /// @param document a valid document
+/// @param layout one line, or one member a line
 /// @return JSON text that ParseFleet reads back to an equal document
-std::string WriteFleet(const FleetDocument& document);
+std::string WriteFleet(const FleetDocument& document,
+                       FleetLayout layout = FleetLayout::kCompact);
 
 }  // namespace limpetlink
--- /dev/null
+++ b/src/fleet/diff.cc
@@ -0,0 +1,91 @@
+#include "absl/strings/str_cat.h"
+#include "fleet/detail/keyed_list.h"
+#include "fleet/detail/write.h"
+#include "fleet/fleet.h"
+
+namespace limpetlink {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+bool IsChangeLabel(const std::string& member) {
+  return member == "change_id" || member == "author";
+}
+
+/// Compares the members of one aggregate. Both sides have the same members.
+void DiffMembers(const std::string& subject, const Json& before,
+                 const Json& after, std::vector<FleetChange>* changes) {
+  for (const auto& member : after.items()) {
+    const Json& old_value = before.at(member.key());
+    if (old_value != member.value()) {
+      changes->push_back({FleetChangeKind::kChanged, subject, member.key(),
+                          old_value.dump(), member.value().dump()});
+    }
+  }
+}
+
+void DiffList(const std::string& name, const Json& before, const Json& after,
+              std::vector<FleetChange>* changes) {
+  const ListMatch match = MatchLists(before, after);
+  for (const std::size_t index : match.removed) {
+    changes->push_back({FleetChangeKind::kRemoved,
+                        absl::StrCat(name, "/", ElementKey(before[index])), "",
+                        before[index].dump(), ""});
+  }
+  for (std::size_t i = 0; i < after.size(); ++i) {
+    const std::string subject = absl::StrCat(name, "/", ElementKey(after[i]));
+    if (match.origins[i]) {
+      DiffMembers(subject, before[*match.origins[i]], after[i], changes);
+    } else {
+      changes->push_back(
+          {FleetChangeKind::kAdded, subject, "", "", after[i].dump()});
+    }
+  }
+  if (!match.same_order) {
+    changes->push_back({FleetChangeKind::kReordered, name, "", "", ""});
+  }
+}
+
+}  // namespace
+
+std::vector<FleetChange> DiffFleet(const FleetDocument& before,
+                                   const FleetDocument& after) {
+  const Json old_json = ToJson(before);
+  const Json new_json = ToJson(after);
+  std::vector<FleetChange> changes;
+  for (const auto& member : new_json.items()) {
+    if (IsChangeLabel(member.key())) {
+      continue;
+    }
+    const Json& old_value = old_json.at(member.key());
+    if (member.value().is_array()) {
+      DiffList(member.key(), old_value, member.value(), &changes);
+    } else if (member.value().is_object()) {
+      DiffMembers(member.key(), old_value, member.value(), &changes);
+    } else if (old_value != member.value()) {
+      changes.push_back({FleetChangeKind::kChanged, member.key(), "",
+                         old_value.dump(), member.value().dump()});
+    }
+  }
+  return changes;
+}
+
+std::string ToText(const FleetChange& change) {
+  const std::string_view kind = ToText(change.kind);
+  std::string line = absl::StrCat(absl::string_view(kind.data(), kind.size()),
+                                  " ", change.subject);
+  switch (change.kind) {
+    case FleetChangeKind::kAdded:
+      return absl::StrCat(line, ": ", change.after);
+    case FleetChangeKind::kRemoved:
+      return absl::StrCat(line, ": ", change.before);
+    case FleetChangeKind::kReordered:
+      return line;
+    case FleetChangeKind::kChanged:
+      break;
+  }
+  const std::string member = change.member.empty() ? "" : change.member + " ";
+  return absl::StrCat(line, ": ", member, change.before, " -> ", change.after);
+}
+
+}  // namespace limpetlink
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,5 +3,6 @@
 /// value.
 #pragma once
 
+#include "fleet/detail/diff.h"
 #include "fleet/detail/document.h"
 #include "fleet/detail/parse.h"
--- /dev/null
+++ b/src/fleet/parse_aggregates.cc
@@ -0,0 +1,171 @@
+#include "fleet/detail/aggregates.h"
+#include "fleet/detail/reader.h"
+
+namespace limpetlink {
+namespace {
+
+constexpr CountRange kFailureDomains{1, 64};
+constexpr CountRange kOrganisations{1, 1000};
+constexpr CountRange kKeyDigests{1, 16};
+constexpr CountRange kModels{0, 64};
+constexpr CountRange kAdapters{0, 64};
+constexpr CountRange kServices{0, 256};
+constexpr CountRange kRules{0, 64};
+constexpr CountRange kUpstreams{1, 10000};
+constexpr CountRange kRoutes{0, 256};
+
+constexpr NumberRange kShareWeight{0.001, 1000.0};
+constexpr NumberRange kConcurrent{1, 1e6};
+constexpr NumberRange kRequestsPerSecond{0.001, 1e6};
+constexpr NumberRange kOutputTokens{1, 1e6};
+constexpr NumberRange kDeadlineSeconds{0.001, 86400};
+constexpr NumberRange kFraction{0, 1};
+
+/// Reads the two deadlines that routes and services have.
+void ReadDeadlines(ObjectReader* reader, Duration* standard, Duration* most) {
+  reader->Seconds("default_deadline_s", kDeadlineSeconds, Presence::kOptional,
+                  standard);
+  reader->Seconds("max_deadline_s", kDeadlineSeconds, Presence::kOptional,
+                  most);
+  if (*standard > *most) {
+    reader->Fault("default_deadline_s", "must not exceed max_deadline_s");
+  }
+}
+
+}  // namespace
+
+FailureDomain ParseFailureDomain(const nlohmann::json& value,
+                                 const std::string& pointer,
+                                 FleetFaults* faults) {
+  FailureDomain domain;
+  ObjectReader reader(value, pointer, faults);
+  reader.Text("id", kNameShape, Presence::kRequired, &domain.id.value);
+  reader.Text("region", kNameShape, Presence::kRequired, &domain.region);
+  reader.Finish();
+  return domain;
+}
+
+Organisation ParseOrganisation(const nlohmann::json& value,
+                               const std::string& pointer,
+                               FleetFaults* faults) {
+  Organisation organisation;
+  ObjectReader reader(value, pointer, faults);
+  reader.Text("id", kNameShape, Presence::kRequired, &organisation.id.value);
+  reader.Texts("key_digests", kDigestShape, kKeyDigests, Presence::kRequired,
+               &organisation.key_digests);
+  reader.Number("weight", kShareWeight, Presence::kOptional,
+                &organisation.weight);
+  reader.Count("max_concurrent", kConcurrent, Presence::kOptional,
+               &organisation.max_concurrent);
+  reader.Number("requests_per_second", kRequestsPerSecond, Presence::kOptional,
+                &organisation.requests_per_second);
+  reader.Finish();
+  return organisation;
+}
+
+Model ParseModel(const nlohmann::json& value, const std::string& pointer,
+                 FleetFaults* faults) {
+  Model model;
+  ObjectReader reader(value, pointer, faults);
+  reader.Text("name", kNameShape, Presence::kRequired, &model.name);
+  reader.Text("version", kVersionShape, Presence::kRequired, &model.version);
+  reader.Texts("adapters", kVersionShape, kAdapters, Presence::kOptional,
+               &model.adapters);
+  reader.Count("max_output_tokens", kOutputTokens, Presence::kOptional,
+               &model.max_output_tokens);
+  reader.Finish();
+  return model;
+}
+
+ServiceRule ParseServiceRule(const nlohmann::json& value,
+                             const std::string& pointer, FleetFaults* faults) {
+  ServiceRule rule;
+  ObjectReader reader(value, pointer, faults);
+  reader.Text("method", kMethodShape, Presence::kRequired, &rule.method);
+  reader.Text("path_prefix", kPathPrefixShape, Presence::kRequired,
+              &rule.path_prefix);
+  reader.Flag("idempotent", Presence::kRequired, &rule.idempotent);
+  reader.Finish();
+  return rule;
+}
+
+Service ParseService(const nlohmann::json& value, const std::string& pointer,
+                     FleetFaults* faults) {
+  Service service;
+  ObjectReader reader(value, pointer, faults);
+  reader.Text("name", kNameShape, Presence::kRequired, &service.name);
+  reader.List("rules", kRules, Presence::kOptional, ParseServiceRule,
+              &service.rules);
+  ReadDeadlines(&reader, &service.default_deadline, &service.max_deadline);
+  reader.Finish();
+  return service;
+}
+
+Upstream ParseUpstream(const nlohmann::json& value, const std::string& pointer,
+                       FleetFaults* faults) {
+  Upstream upstream;
+  ObjectReader reader(value, pointer, faults);
+  reader.Text("id", kNameShape, Presence::kRequired, &upstream.id.value);
+  reader.Choice("kind", Presence::kRequired, &upstream.kind);
+  reader.Text("serves", kNameShape, Presence::kRequired, &upstream.serves);
+  reader.Text("url", kUrlShape, Presence::kRequired, &upstream.url);
+  reader.Text("failure_domain", kNameShape, Presence::kRequired,
+              &upstream.failure_domain.value);
+  reader.Flag("checks_fencing", Presence::kOptional, &upstream.checks_fencing);
+  reader.Finish();
+  return upstream;
+}
+
+Route ParseRoute(const nlohmann::json& value, const std::string& pointer,
+                 FleetFaults* faults) {
+  Route route;
+  ObjectReader reader(value, pointer, faults);
+  reader.Text("name", kNameShape, Presence::kRequired, &route.name);
+  reader.Text("model", kNameShape, Presence::kRequired, &route.model);
+  reader.Choice("request_class", Presence::kOptional, &route.request_class);
+  reader.Choice("on_loss", Presence::kOptional, &route.on_loss);
+  ReadDeadlines(&reader, &route.default_deadline, &route.max_deadline);
+  reader.Finish();
+  return route;
+}
+
+Weights ParseWeights(const nlohmann::json& value, const std::string& pointer,
+                     FleetFaults* faults) {
+  Weights weights;
+  ObjectReader reader(value, pointer, faults);
+  reader.Number("stall", kFraction, Presence::kOptional, &weights.stall);
+  reader.Number("preemption", kFraction, Presence::kOptional,
+                &weights.preemption);
+  reader.Number("tail", kFraction, Presence::kOptional, &weights.tail);
+  reader.Finish();
+  return weights;
+}
+
+FleetDocument ParseFleetDocument(const nlohmann::json& value,
+                                 const std::string& pointer,
+                                 FleetFaults* faults) {
+  FleetDocument document;
+  ObjectReader reader(value, pointer, faults);
+  reader.Text("name", kNameShape, Presence::kRequired, &document.name);
+  reader.Text("change_id", kVersionShape, Presence::kOptional,
+              &document.change_id);
+  reader.Text("author", kLineShape, Presence::kOptional, &document.author);
+  reader.List("failure_domains", kFailureDomains, Presence::kRequired,
+              ParseFailureDomain, &document.failure_domains);
+  reader.List("organisations", kOrganisations, Presence::kRequired,
+              ParseOrganisation, &document.organisations);
+  reader.List("models", kModels, Presence::kOptional, ParseModel,
+              &document.models);
+  reader.List("services", kServices, Presence::kOptional, ParseService,
+              &document.services);
+  reader.List("upstreams", kUpstreams, Presence::kRequired, ParseUpstream,
+              &document.upstreams);
+  reader.List("routes", kRoutes, Presence::kOptional, ParseRoute,
+              &document.routes);
+  reader.Member("weights", Presence::kOptional, ParseWeights,
+                &document.weights);
+  reader.Finish();
+  return document;
+}
+
+}  // namespace limpetlink
