--- /dev/null
+++ b/src/entry/completion_body.cc
@@ -0,0 +1,173 @@
+#include "entry/detail/completion_body.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace limpetlink {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kBytesPerToken = 4;
+constexpr std::size_t kBlockBytes = 256;
+constexpr std::size_t kMaxBlocks = 16;
+constexpr std::int64_t kMaxOutputTokens = 1'000'000;
+
+absl::Status Malformed(std::string_view detail) {
+  return MakeStatus(ErrorCode::kRequestMalformed, detail);
+}
+
+absl::StatusOr<std::string> ParseMessages(const json& body) {
+  const auto messages = body.find("messages");
+  if (messages == body.end() || !messages->is_array() || messages->empty()) {
+    return Malformed("/messages must be a list that is not empty");
+  }
+  std::string prompt;
+  for (const json& message : *messages) {
+    const bool valid = message.is_object() && message.contains("role") &&
+                       message["role"].is_string() &&
+                       message.contains("content") &&
+                       message["content"].is_string();
+    if (!valid) {
+      return Malformed("/messages: each needs role and content as text");
+    }
+    prompt += message["role"].get<std::string>();
+    prompt += ": ";
+    prompt += message["content"].get<std::string>();
+    prompt += '\n';
+  }
+  return prompt;
+}
+
+absl::StatusOr<std::string> ParsePrompt(CompletionKind kind, const json& body) {
+  if (kind == CompletionKind::kChat) {
+    return ParseMessages(body);
+  }
+  const auto prompt = body.find("prompt");
+  if (prompt == body.end() || !prompt->is_string()) {
+    return Malformed("/prompt must be text");
+  }
+  return prompt->get<std::string>();
+}
+
+absl::Status ParseOptions(const json& body, CompletionBody& parsed) {
+  const auto max_tokens = body.find("max_tokens");
+  if (max_tokens != body.end()) {
+    const bool valid = max_tokens->is_number_integer() &&
+                       max_tokens->get<std::int64_t>() > 0 &&
+                       max_tokens->get<std::int64_t>() <= kMaxOutputTokens;
+    if (!valid) {
+      return Malformed("/max_tokens must be a whole number from 1 to 1000000");
+    }
+    parsed.max_output_tokens = max_tokens->get<std::uint32_t>();
+  }
+  const auto stream = body.find("stream");
+  if (stream != body.end()) {
+    if (!stream->is_boolean()) {
+      return Malformed("/stream must be true or false");
+    }
+    parsed.stream = stream->get<bool>();
+  }
+  return absl::OkStatus();
+}
+
+json OptionalReason(std::string_view finish_reason) {
+  return finish_reason.empty() ? json() : json(finish_reason);
+}
+
+json ChunkChoice(CompletionKind kind, std::string_view text,
+                 std::string_view finish_reason) {
+  json choice = {{"index", 0},
+                 {"finish_reason", OptionalReason(finish_reason)}};
+  if (kind == CompletionKind::kChat) {
+    choice["delta"] = text.empty() ? json::object() : json{{"content", text}};
+  } else {
+    choice["text"] = text;
+  }
+  return choice;
+}
+
+std::string DumpLine(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace
+
+absl::StatusOr<CompletionBody> ParseCompletionBody(CompletionKind kind,
+                                                   std::string_view body) {
+  const json parsed_json = json::parse(body, nullptr, false);
+  if (!parsed_json.is_object()) {
+    return Malformed("the body must be a JSON object");
+  }
+  const auto model = parsed_json.find("model");
+  if (model == parsed_json.end() || !model->is_string()) {
+    return Malformed("/model must be text");
+  }
+  CompletionBody parsed;
+  parsed.model = model->get<std::string>();
+  absl::StatusOr<std::string> prompt = ParsePrompt(kind, parsed_json);
+  if (!prompt.ok()) {
+    return prompt.status();
+  }
+  parsed.prompt = *std::move(prompt);
+  const absl::Status options = ParseOptions(parsed_json, parsed);
+  if (!options.ok()) {
+    return options;
+  }
+  return parsed;
+}
+
+std::uint32_t EstimatePromptTokens(std::string_view prompt) {
+  return static_cast<std::uint32_t>(
+      std::max<std::size_t>(1, prompt.size() / kBytesPerToken));
+}
+
+std::vector<std::uint64_t> PrefixBlocks(std::string_view model,
+                                        std::string_view prompt) {
+  std::vector<std::uint64_t> blocks;
+  std::uint64_t previous = StableHash(model);
+  for (std::size_t at = 0;
+       at + kBlockBytes <= prompt.size() && blocks.size() < kMaxBlocks;
+       at += kBlockBytes) {
+    previous = StableHash(prompt.substr(at, kBlockBytes), previous);
+    blocks.push_back(previous);
+  }
+  return blocks;
+}
+
+std::string WriteChunk(const AnswerHeader& header, std::string_view text,
+                       std::string_view finish_reason) {
+  const bool chat = header.kind == CompletionKind::kChat;
+  const json chunk = {
+      {"id", header.id},
+      {"object", chat ? "chat.completion.chunk" : "text_completion"},
+      {"model", header.model},
+      {"choices",
+       json::array({ChunkChoice(header.kind, text, finish_reason)})}};
+  return DumpLine(chunk);
+}
+
+std::string WriteWholeAnswer(const AnswerHeader& header, std::string_view text,
+                             std::string_view finish_reason,
+                             std::uint32_t prompt_tokens,
+                             std::uint32_t output_tokens) {
+  const bool chat = header.kind == CompletionKind::kChat;
+  json choice = {{"index", 0},
+                 {"finish_reason", OptionalReason(finish_reason)}};
+  if (chat) {
+    choice["message"] = {{"role", "assistant"}, {"content", text}};
+  } else {
+    choice["text"] = text;
+  }
+  const json answer = {{"id", header.id},
+                       {"object", chat ? "chat.completion" : "text_completion"},
+                       {"model", header.model},
+                       {"choices", json::array({choice})},
+                       {"usage",
+                        {{"prompt_tokens", prompt_tokens},
+                         {"completion_tokens", output_tokens},
+                         {"total_tokens", prompt_tokens + output_tokens}}}};
+  return DumpLine(answer);
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/entry/detail/completion_body.h
@@ -0,0 +1,73 @@
+/// @file
+/// @brief Bodies of completion requests and answers in the OpenAI-compatible
+/// shape.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "base/base.h"
+
+namespace limpetlink {
+
+/// @brief Which of the two completion endpoints a caller used.
+enum class CompletionKind { kText, kChat };
+
+/// @brief What a caller asks of a model.
+struct CompletionBody {
+  std::string model;
+  std::string prompt;  ///< messages of a chat are joined, a line each
+  std::uint32_t max_output_tokens = 0;  ///< 0: the model's own bound
+  bool stream = false;
+};
+
+/// @brief Parses the body of a completion request.
+/// @param kind the endpoint
+/// @param body JSON text
+/// @return the request, or request.101 naming the member at fault
+absl::StatusOr<CompletionBody> ParseCompletionBody(CompletionKind kind,
+                                                   std::string_view body);
+
+/// @brief Estimates a prompt's length.
+/// @param prompt the prompt
+/// @return tokens, at four bytes a token, at least 1
+std::uint32_t EstimatePromptTokens(std::string_view prompt);
+
+/// @brief Hashes of a prompt's leading blocks; equal prefixes give equal
+/// leading hashes.
+/// @param model the model, since caches are apart
+/// @param prompt the prompt
+/// @return a hash for each whole block, at most 16
+std::vector<std::uint64_t> PrefixBlocks(std::string_view model,
+                                        std::string_view prompt);
+
+/// @brief What stays equal in every chunk of one answer.
+struct AnswerHeader {
+  CompletionKind kind = CompletionKind::kText;
+  std::string id;
+  std::string model;
+};
+
+/// @brief Writes one chunk of a streamed answer.
+/// @param header the answer's own values
+/// @param text the token's text
+/// @param finish_reason empty but for the last chunk
+/// @return JSON text on one line
+std::string WriteChunk(const AnswerHeader& header, std::string_view text,
+                       std::string_view finish_reason);
+
+/// @brief Writes a whole answer.
+/// @param header the answer's own values
+/// @param text all of the tokens' text
+/// @param finish_reason why the generation ended
+/// @param prompt_tokens estimated
+/// @param output_tokens counted
+/// @return JSON text
+std::string WriteWholeAnswer(const AnswerHeader& header, std::string_view text,
+                             std::string_view finish_reason,
+                             std::uint32_t prompt_tokens,
+                             std::uint32_t output_tokens);
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/entry/tests/completion_body_test.cc
@@ -0,0 +1,67 @@
+#include "entry/detail/completion_body.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace limpetlink {
+namespace {
+
+TEST_CASE(
+    "completion body, text endpoint, gives model, prompt, bound and stream") {
+  const auto body = ParseCompletionBody(
+      CompletionKind::kText,
+      R"({"model":"m","prompt":"hello","max_tokens":5,"stream":true})");
+  REQUIRE(body.ok());
+  CHECK(body->model == "m");
+  CHECK(body->prompt == "hello");
+  CHECK(body->max_output_tokens == 5);
+  CHECK(body->stream);
+}
+
+TEST_CASE("completion body, chat endpoint, joins the messages") {
+  const auto body = ParseCompletionBody(
+      CompletionKind::kChat,
+      R"({"model":"m","messages":[{"role":"user","content":"a"},
+                              {"role":"assistant","content":"b"}]})");
+  REQUIRE(body.ok());
+  CHECK(body->prompt == "user: a\nassistant: b\n");
+  CHECK_FALSE(body->stream);
+}
+
+TEST_CASE("completion body, malformed, is refused with request.101") {
+  for (const char* bad :
+       {"", "[]", "{", R"({"prompt":"x"})", R"({"model":1,"prompt":"x"})",
+        R"({"model":"m"})", R"({"model":"m","prompt":"x","max_tokens":0})",
+        R"({"model":"m","prompt":"x","max_tokens":"5"})",
+        R"({"model":"m","prompt":"x","max_tokens":99999999999999999999})",
+        R"({"model":"m","prompt":"x","stream":"yes"})"}) {
+    const auto body = ParseCompletionBody(CompletionKind::kText, bad);
+    CHECK(ErrorCodeOf(body.status()) == ErrorCode::kRequestMalformed);
+  }
+}
+
+TEST_CASE(
+    "prefix blocks, prompts with a common start, share the leading hashes "
+    "only") {
+  const std::string common(512, 'a');
+  const auto first = PrefixBlocks("m", common + std::string(256, 'b'));
+  const auto second = PrefixBlocks("m", common + std::string(256, 'c'));
+  REQUIRE(first.size() == 3);
+  CHECK(first[1] == second[1]);
+  CHECK(first[2] != second[2]);
+  CHECK(PrefixBlocks("other", common)[0] != first[0]);
+}
+
+TEST_CASE("answer texts, chunk and whole, have the OpenAI-compatible shape") {
+  const AnswerHeader header{CompletionKind::kChat, "c1", "m"};
+  const auto chunk = nlohmann::json::parse(WriteChunk(header, "tok", ""));
+  CHECK(chunk["choices"][0]["delta"]["content"] == "tok");
+  CHECK(chunk["choices"][0]["finish_reason"].is_null());
+  const auto whole =
+      nlohmann::json::parse(WriteWholeAnswer(header, "all", "stop", 3, 4));
+  CHECK(whole["choices"][0]["message"]["content"] == "all");
+  CHECK(whole["usage"]["total_tokens"] == 7);
+}
+
+}  // namespace
+}  // namespace limpetlink
