Add the streams slice: one caller's stream, resume tokens, SSE codec

The entry host needs the headers first.

Change: Stream is a state machine over typed messages. Calls carry a number (attempt) besides the generation, since two calls of one generation overlap when a stalled one is replaced.

The resume token's MAC binds organisation, worker, generation, fleet version and route, and leaves the offset out: a holder can only read its own generation again, and the MAC is computed once a generation.

New error code upstream.104 for an answer that cannot be read.

--- a/src/base/detail/error.h
+++ b/src/base/detail/error.h
@@ -55,6 +55,7 @@
   kUpstreamUnreachable,
   kUpstreamCut,
   kUpstreamRefused,
+  kUpstreamMalformed,
   kIdempotencyKeyReused,
   kIdempotencyOutcomeUnknown,
   kIdempotencyLogUnavailable,
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -55,6 +55,8 @@
      "The upstream's connection was cut"},
     {ErrorCode::kUpstreamRefused, "upstream.103", 503,
      "The upstream refused the request"},
+    {ErrorCode::kUpstreamMalformed, "upstream.104", 502,
+     "The upstream's answer is malformed"},
     {ErrorCode::kIdempotencyKeyReused, "idempotency.101", 422,
      "The idempotency key was used with another request"},
     {ErrorCode::kIdempotencyOutcomeUnknown, "idempotency.102", 409,
--- /dev/null
+++ b/src/streams/tests/stream_test.cc
@@ -0,0 +1,194 @@
+#include <catch2/catch.hpp>
+
+#include "streams/streams.h"
+
+namespace limpetlink {
+namespace {
+
+struct StreamFixture {
+  Instant now{};
+  StreamOptions options;
+  Stream stream{options};
+
+  StreamActions Step(StreamMessage message) {
+    return this->stream.Step(this->now, std::move(message));
+  }
+  StreamActions Token(std::uint32_t attempt, std::uint64_t offset) {
+    return this->Step(
+        StreamFrame{attempt, {{"g1"}, offset, "t", std::nullopt}});
+  }
+  void BeginWithTokens(std::uint64_t count) {
+    this->Step(StreamBegin{{"g1"}, {"w1"}});
+    for (std::uint64_t i = 0; i < count; ++i) {
+      REQUIRE(this->Token(1, i).size() == 1);
+    }
+  }
+  StreamActions TickUntilLost() {
+    StreamActions last;
+    while (this->stream.phase() == StreamPhase::kCalling ||
+           this->stream.phase() == StreamPhase::kBackoff) {
+      this->now = this->stream.NextWakeup();
+      last = this->Step(StreamTick{});
+    }
+    return last;
+  }
+};
+
+template <typename T>
+const T* Find(const StreamActions& actions) {
+  for (const StreamAction& action : actions) {
+    if (const T* found = std::get_if<T>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+TEST_CASE_METHOD(StreamFixture,
+                 "stream, frame that does not match exactly, is dropped") {
+  this->BeginWithTokens(2);
+  SECTION("duplicate") {
+    CHECK(this->Token(1, 1).empty());
+    CHECK(this->stream.counts().duplicates == 1);
+  }
+  SECTION("other generation") {
+    const EngineFrame frame{{"g0"}, 2, "t", std::nullopt};
+    CHECK(this->Step(StreamFrame{1, frame}).empty());
+    CHECK(this->stream.counts().stale == 1);
+  }
+  SECTION("gap resumes at the awaited offset") {
+    const StreamActions actions = this->Token(1, 3);
+    CHECK(Find<DeliverToken>(actions) == nullptr);
+    REQUIRE(Find<ResumeCall>(actions) != nullptr);
+    CHECK(Find<ResumeCall>(actions)->offset == 2);
+    CHECK(this->Token(1, 2).empty());
+    CHECK(this->stream.counts().late == 1);
+    CHECK(Find<DeliverToken>(this->Token(2, 2)) != nullptr);
+  }
+  SECTION("finish with another count") {
+    const EngineFrame finish{{"g1"}, 1, "", FinishReason::kStop};
+    CHECK(this->Step(StreamFrame{1, finish}).empty());
+    CHECK(this->stream.phase() == StreamPhase::kCalling);
+  }
+}
+
+TEST_CASE_METHOD(StreamFixture, "stream, finish frame, ends once") {
+  this->BeginWithTokens(2);
+  const EngineFrame finish{{"g1"}, 2, "", FinishReason::kStop};
+  const StreamActions actions = this->Step(StreamFrame{1, finish});
+  REQUIRE(Find<FinishStream>(actions) != nullptr);
+  CHECK(Find<FinishStream>(actions)->tokens == 2);
+  CHECK(this->Step(StreamFrame{1, finish}).empty());
+  CHECK(this->Step(StreamCallEnded{1, StreamCallEnd::kCut}).empty());
+  CHECK(this->Step(StreamCallerLeft{}).empty());
+  CHECK(this->stream.NextWakeup() == kNever);
+}
+
+TEST_CASE_METHOD(StreamFixture, "stream, call cut, resumes in place") {
+  this->BeginWithTokens(3);
+  const StreamActions actions =
+      this->Step(StreamCallEnded{1, StreamCallEnd::kCut});
+  REQUIRE(Find<ResumeCall>(actions) != nullptr);
+  CHECK(Find<ResumeCall>(actions)->generation == GenerationId{"g1"});
+  CHECK(Find<ResumeCall>(actions)->offset == 3);
+}
+
+TEST_CASE_METHOD(StreamFixture, "stream, silent engine, is lost in the end") {
+  SECTION("tokens delivered, route restarts") {
+    this->BeginWithTokens(3);
+    const StreamActions lost = this->TickUntilLost();
+    CHECK(Find<CancelGeneration>(lost) != nullptr);
+    REQUIRE(Find<RequestNewWorker>(lost) != nullptr);
+    CHECK(Find<RequestNewWorker>(lost)->delivered == 3);
+    const StreamActions begun = this->Step(StreamBegin{{"g2"}, {"w2"}});
+    REQUIRE(Find<RestartStream>(begun) != nullptr);
+    CHECK(Find<RestartStream>(begun)->dropped_tokens == 3);
+    CHECK(this->stream.next_offset() == 0);
+  }
+  SECTION("nothing delivered, runs again silently") {
+    this->Step(StreamBegin{{"g1"}, {"w1"}});
+    REQUIRE(Find<RequestNewWorker>(this->TickUntilLost()) != nullptr);
+    const StreamActions begun = this->Step(StreamBegin{{"g2"}, {"w2"}});
+    CHECK(Find<RestartStream>(begun) == nullptr);
+    CHECK(this->stream.counts().silent_reruns == 1);
+  }
+  SECTION("tokens delivered, route ends") {
+    this->options.on_loss = OnLoss::kEnd;
+    this->stream = Stream(this->options);
+    this->BeginWithTokens(3);
+    const StreamActions lost = this->TickUntilLost();
+    REQUIRE(Find<EndIncomplete>(lost) != nullptr);
+    CHECK(Find<EndIncomplete>(lost)->tokens == 3);
+    CHECK(Find<EndIncomplete>(lost)->problem.outcome == Outcome::kRan);
+  }
+}
+
+TEST_CASE_METHOD(StreamFixture,
+                 "stream, given up, tells only what is known to be true") {
+  const Problem problem{ErrorCode::kRoutingNoUpstream, Outcome::kNotRun, "",
+                        std::nullopt};
+  const auto outcome = [&] {
+    return Find<EndIncomplete>(this->Step(StreamGiveUp{problem}))
+        ->problem.outcome;
+  };
+  SECTION("before any call") { CHECK(outcome() == Outcome::kNotRun); }
+  this->Step(StreamBegin{{"g1"}, {"w1"}});
+  SECTION("call open") { CHECK(outcome() == Outcome::kUnknown); }
+  SECTION("not connected") {
+    this->Step(StreamCallEnded{1, StreamCallEnd::kNotConnected});
+    CHECK(outcome() == Outcome::kNotRun);
+  }
+  SECTION("refused") {
+    this->Step(StreamCallEnded{1, StreamCallEnd::kRefused});
+    CHECK(outcome() == Outcome::kNotRun);
+  }
+  SECTION("cut, then gone, then not connected elsewhere") {
+    this->Step(StreamCallEnded{1, StreamCallEnd::kCut});
+    this->Step(StreamCallEnded{2, StreamCallEnd::kGone});
+    this->Step(StreamBegin{{"g2"}, {"w2"}});
+    this->Step(StreamCallEnded{3, StreamCallEnd::kNotConnected});
+    CHECK(outcome() == Outcome::kUnknown);
+  }
+}
+
+TEST_CASE_METHOD(StreamFixture, "stream, slow caller, pauses the call") {
+  this->options.high_buffer_bytes = 500;
+  this->options.low_buffer_bytes = 100;
+  this->stream = Stream(this->options);
+  this->BeginWithTokens(2);
+  REQUIRE(Find<PauseCall>(this->Token(1, 2)) != nullptr);
+  CHECK(this->stream.NextWakeup() == kNever);
+  CHECK(this->Step(StreamDrained{101}).empty());
+  SECTION("drained, goes on") {
+    const StreamActions actions = this->Step(StreamDrained{100});
+    REQUIRE(Find<PauseCall>(actions) != nullptr);
+    CHECK_FALSE(Find<PauseCall>(actions)->paused);
+  }
+  SECTION("cut while paused, resumes only when drained") {
+    CHECK(this->Step(StreamCallEnded{1, StreamCallEnd::kCut}).empty());
+    REQUIRE(Find<ResumeCall>(this->Step(StreamDrained{0})) != nullptr);
+  }
+}
+
+TEST_CASE_METHOD(StreamFixture, "stream, caller left, cancels") {
+  this->BeginWithTokens(1);
+  SECTION("by a live host") {
+    CHECK(Find<CancelGeneration>(this->Step(StreamCallerLeft{true})));
+  }
+  SECTION("by a host that was frozen, only lets go") {
+    const StreamActions actions = this->Step(StreamCallerLeft{false});
+    CHECK(Find<CancelGeneration>(actions) == nullptr);
+    CHECK(Find<AbandonCall>(actions) != nullptr);
+  }
+}
+
+TEST_CASE_METHOD(StreamFixture, "stream, taken up, goes on at the offset") {
+  const StreamActions actions = this->Step(StreamTakeUp{{"g1"}, {"w1"}, 7});
+  REQUIRE(Find<ResumeCall>(actions) != nullptr);
+  CHECK(Find<ResumeCall>(actions)->offset == 7);
+  CHECK(this->Token(1, 6).empty());
+  CHECK(Find<DeliverToken>(this->Token(1, 7)) != nullptr);
+}
+
+}  // namespace
+}  // namespace limpetlink
