--- a/src/streams/detail/stream.h
+++ b/src/streams/detail/stream.h
@@ -86,15 +86,15 @@
   Instant NextWakeup() const;
 
   /// @return where the stream stands
-  StreamPhase phase() const { return this->current_phase; }
+  StreamPhase Phase() const { return this->current_phase; }
   /// @return the generation in force; empty before the first
-  const GenerationId& generation() const { return this->current_generation; }
+  const GenerationId& Generation() const { return this->current_generation; }
   /// @return the worker of that generation
-  const UpstreamId& worker() const { return this->current_worker; }
+  const UpstreamId& Worker() const { return this->current_worker; }
   /// @return the offset of the next token
-  std::uint64_t next_offset() const { return this->offset; }
+  std::uint64_t NextOffset() const { return this->offset; }
   /// @return what was dropped or met so far
-  const StreamCounts& counts() const { return this->totals; }
+  const StreamCounts& Counts() const { return this->totals; }
   /// @return what a caller may be told if the stream ended now
   Outcome OutcomeSoFar() const;
 
--- a/src/streams/tests/stream_test.cc
+++ b/src/streams/tests/stream_test.cc
@@ -25,8 +25,8 @@
   }
   StreamActions TickUntilLost() {
     StreamActions last;
-    while (this->stream.phase() == StreamPhase::kCalling ||
-           this->stream.phase() == StreamPhase::kBackoff) {
+    while (this->stream.Phase() == StreamPhase::kCalling ||
+           this->stream.Phase() == StreamPhase::kBackoff) {
       this->now = this->stream.NextWakeup();
       last = this->Step(StreamTick{});
     }
@@ -49,12 +49,12 @@
   this->BeginWithTokens(2);
   SECTION("duplicate") {
     CHECK(this->Token(1, 1).empty());
-    CHECK(this->stream.counts().duplicates == 1);
+    CHECK(this->stream.Counts().duplicates == 1);
   }
   SECTION("other generation") {
     const EngineFrame frame{{"g0"}, 2, "t", std::nullopt};
     CHECK(this->Step(StreamFrame{1, frame}).empty());
-    CHECK(this->stream.counts().stale == 1);
+    CHECK(this->stream.Counts().stale == 1);
   }
   SECTION("gap resumes at the awaited offset") {
     const StreamActions actions = this->Token(1, 3);
@@ -62,13 +62,13 @@
     REQUIRE(Find<ResumeCall>(actions) != nullptr);
     CHECK(Find<ResumeCall>(actions)->offset == 2);
     CHECK(this->Token(1, 2).empty());
-    CHECK(this->stream.counts().late == 1);
+    CHECK(this->stream.Counts().late == 1);
     CHECK(Find<DeliverToken>(this->Token(2, 2)) != nullptr);
   }
   SECTION("finish with another count") {
     const EngineFrame finish{{"g1"}, 1, "", FinishReason::kStop};
     CHECK(this->Step(StreamFrame{1, finish}).empty());
-    CHECK(this->stream.phase() == StreamPhase::kCalling);
+    CHECK(this->stream.Phase() == StreamPhase::kCalling);
   }
 }
 
@@ -103,14 +103,14 @@
     const StreamActions begun = this->Step(StreamBegin{{"g2"}, {"w2"}});
     REQUIRE(Find<RestartStream>(begun) != nullptr);
     CHECK(Find<RestartStream>(begun)->dropped_tokens == 3);
-    CHECK(this->stream.next_offset() == 0);
+    CHECK(this->stream.NextOffset() == 0);
   }
   SECTION("nothing delivered, runs again silently") {
     this->Step(StreamBegin{{"g1"}, {"w1"}});
     REQUIRE(Find<RequestNewWorker>(this->TickUntilLost()) != nullptr);
     const StreamActions begun = this->Step(StreamBegin{{"g2"}, {"w2"}});
     CHECK(Find<RestartStream>(begun) == nullptr);
-    CHECK(this->stream.counts().silent_reruns == 1);
+    CHECK(this->stream.Counts().silent_reruns == 1);
   }
   SECTION("tokens delivered, route ends") {
     this->options.on_loss = OnLoss::kEnd;
