--- /dev/null
+++ b/src/platform/encode.cc
@@ -0,0 +1,144 @@
+#include "platform/detail/encode.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace limpetlink {
+namespace {
+
+constexpr std::uint64_t kMaxRetryAfterSeconds = 3600;
+
+using Json = nlohmann::json;
+
+bool IsUnreserved(char c) {
+  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  const bool digit = c >= '0' && c <= '9';
+  return letter || digit || c == '-' || c == '.' || c == '_' || c == '~';
+}
+
+std::optional<std::uint64_t> ReadNumber(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string ReadText(const Json& row, const char* member) {
+  const auto found = row.find(member);
+  const bool is_text = found != row.end() && found->is_string();
+  return is_text ? found->get<std::string>() : std::string();
+}
+
+/// @brief Finds the array of rows in an answer; nullptr when malformed.
+const Json* FindRows(const Json& document, const char* member) {
+  if (!document.is_object()) {
+    return nullptr;
+  }
+  const auto found = document.find(member);
+  const bool is_array = found != document.end() && found->is_array();
+  return is_array ? &*found : nullptr;
+}
+
+}  // namespace
+
+std::string PercentEncode(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  encoded.reserve(text.size());
+  for (const char c : text) {
+    if (IsUnreserved(c)) {
+      encoded.push_back(c);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    encoded.push_back('%');
+    encoded.push_back(kDigits[byte >> 4U]);
+    encoded.push_back(kDigits[byte & 0x0FU]);
+  }
+  return encoded;
+}
+
+std::string ObjectPath(const ObjectKey& key) {
+  return "/v1/objects/" + PercentEncode(key.kind) + "/" +
+         PercentEncode(key.name);
+}
+
+void AddCondition(const WriteCondition& condition, Headers* headers) {
+  switch (condition.when) {
+    case WriteWhen::kAlways:
+      return;
+    case WriteWhen::kAbsent:
+      headers->push_back({"If-None-Match", "*"});
+      return;
+    case WriteWhen::kVersion:
+      headers->push_back(
+          {"If-Match", "\"" + std::to_string(condition.version) + "\""});
+      return;
+  }
+}
+
+std::optional<std::uint64_t> ReadVersion(const Headers& headers) {
+  const std::string* tag = FindHeader(headers, "ETag");
+  if (tag == nullptr || tag->size() < 3 || tag->front() != '"' ||
+      tag->back() != '"') {
+    return std::nullopt;
+  }
+  const std::string digits = tag->substr(1, tag->size() - 2);
+  return ReadNumber(digits);
+}
+
+std::optional<Duration> ReadRetryAfter(const Headers& headers) {
+  const std::string* text = FindHeader(headers, "Retry-After");
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  const auto seconds = ReadNumber(*text);
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(std::min(*seconds, kMaxRetryAfterSeconds));
+}
+
+bool ReadObjects(const std::string& body, std::vector<ObjectEntry>* objects) {
+  const Json document = Json::parse(body, nullptr, false);
+  const Json* rows = FindRows(document, "objects");
+  if (rows == nullptr) {
+    return false;
+  }
+  for (const Json& row : *rows) {
+    const bool well_formed = row.is_object() && row.contains("version") &&
+                             row["version"].is_number_unsigned();
+    if (!well_formed) {
+      return false;
+    }
+    objects->push_back(
+        {ReadText(row, "name"), row["version"].get<std::uint64_t>()});
+  }
+  return true;
+}
+
+bool ReadHosts(const std::string& body, std::vector<ListedHost>* hosts) {
+  const Json document = Json::parse(body, nullptr, false);
+  const Json* rows = FindRows(document, "hosts");
+  if (rows == nullptr) {
+    return false;
+  }
+  for (const Json& row : *rows) {
+    if (!row.is_object()) {
+      return false;
+    }
+    const auto role = ParseEnum<ListedRole>(ReadText(row, "role"));
+    const std::string id = ReadText(row, "id");
+    if (!role || id.empty()) {
+      continue;
+    }
+    const bool leaving = ReadText(row, "state") == "leaving";
+    hosts->push_back({id, ReadText(row, "address"), *role, leaving});
+  }
+  return true;
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/platform/tests/client_test.cc
@@ -0,0 +1,177 @@
+#include <catch2/catch.hpp>
+
+#include "platform/platform.h"
+#include "platform/tests/fake_platform.h"
+
+namespace limpetlink {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ClientFixture {
+ public:
+  ClientFixture()
+      : client({"http://10.0.0.1:80", CallBudget{}},
+               [this] { return CallId{++this->last_call}; }) {}
+
+  std::vector<HttpCall> Calls() {
+    std::vector<HttpCall> calls;
+    for (const Action& action : this->client.TakeActions()) {
+      if (const auto* call = std::get_if<HttpCall>(&action)) {
+        calls.push_back(*call);
+      }
+    }
+    return calls;
+  }
+
+  void Answer(const HttpCall& call, const testing::FakePlatform::Answer& said) {
+    for (const Event& event : testing::ToEvents(call.id, said)) {
+      if (const auto* head = std::get_if<HttpHead>(&event)) {
+        REQUIRE(this->client.OnHead(this->now, *head));
+      } else if (const auto* chunk = std::get_if<HttpChunk>(&event)) {
+        REQUIRE(this->client.OnChunk(this->now, *chunk));
+      } else if (const auto* done = std::get_if<HttpDone>(&event)) {
+        REQUIRE(this->client.OnDone(this->now, *done));
+      }
+    }
+  }
+
+  PlatformResult Only() {
+    const auto results = this->client.TakeResults();
+    REQUIRE(results.size() == 1);
+    return results.front();
+  }
+
+  /// @brief Lets time pass from wakeup to wakeup, answering no call.
+  void Pass(Duration span) {
+    const Instant end = this->now + span;
+    while (this->client.NextWakeup() <= end) {
+      this->now = std::max(this->now, this->client.NextWakeup());
+      this->client.Tick(this->now);
+    }
+    this->now = end;
+  }
+
+  std::uint64_t last_call = 0;
+  PlatformClient client;
+  Instant now{seconds(100)};
+};
+
+TEST_CASE_METHOD(ClientFixture,
+                 "platform client, write whose answer is lost, ends as unknown "
+                 "and is not sent again") {
+  this->client.Put(this->now, {"fleet", "a/b"}, "x",
+                   WriteCondition::IfVersion(3));
+  const auto calls = this->Calls();
+  REQUIRE(calls.size() == 1);
+  CHECK(calls[0].url == "http://10.0.0.1:80/v1/objects/fleet/a%2Fb");
+  CHECK(*FindHeader(calls[0].headers, "If-Match") == "\"3\"");
+  SECTION("cut") {
+    this->client.OnDone(this->now, {calls[0].id, HttpEnd::kCut});
+  }
+  SECTION("no end ever comes") { this->Pass(seconds(6)); }
+  SECTION("an error of a gateway") { this->Answer(calls[0], {502, 0, ""}); }
+  CHECK(this->Only().status == PlatformStatus::kUnknown);
+  CHECK(this->Calls().empty());
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "platform client, write that surely did not run, is sent "
+                 "again within its time limit") {
+  this->client.Put(this->now, {"fleet", "a"}, "x", WriteCondition::IfAbsent());
+  const auto first = this->Calls();
+  REQUIRE(first.size() == 1);
+  SECTION("no connection") {
+    this->client.OnDone(this->now, {first[0].id, HttpEnd::kNotConnected});
+  }
+  SECTION("throttled") { this->Answer(first[0], {429, 0, ""}); }
+  SECTION("outage") { this->Answer(first[0], {503, 0, ""}); }
+  this->Pass(milliseconds(1500));
+  const auto second = this->Calls();
+  REQUIRE(second.size() == 1);
+  this->Answer(second[0], {201, 1, ""});
+  const PlatformResult result = this->Only();
+  CHECK(result.status == PlatformStatus::kOk);
+  CHECK(result.version == 1);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "platform client, calls beyond the budget, wait and end as "
+                 "throttled with no call made") {
+  for (int i = 0; i < 60; ++i) {
+    this->client.Get(this->now, {"fleet", std::to_string(i)});
+  }
+  std::size_t sent = 0;
+  std::size_t throttled = 0;
+  const Instant end = this->now + seconds(6);
+  while (this->now < end) {
+    for (const HttpCall& call : this->Calls()) {
+      ++sent;
+      this->Answer(call, {404, 0, ""});
+    }
+    this->Pass(milliseconds(50));
+    for (const PlatformResult& result : this->client.TakeResults()) {
+      throttled += result.status == PlatformStatus::kThrottled ? 1 : 0;
+    }
+  }
+  CHECK(sent <= 12 + 5 * 3);  // burst, then three a second for five seconds
+  CHECK(sent >= 25);
+  CHECK(sent + throttled == 60);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "platform client, outage, every operation ends at once but "
+                 "the one that probes") {
+  for (int i = 0; i < 4; ++i) {
+    this->client.Watch(this->now, {"fleet", "a"}, 1, seconds(5));
+    for (const HttpCall& call : this->Calls()) {
+      this->client.OnDone(this->now, {call.id, HttpEnd::kNotConnected});
+    }
+  }
+  this->client.TakeResults();
+  REQUIRE(this->client.Health().mode == PlatformMode::kOutage);
+  this->client.Get(this->now, {"fleet", "a"});
+  CHECK(this->Calls().empty());
+  const PlatformResult refused = this->Only();
+  CHECK(refused.status == PlatformStatus::kUnavailable);
+  CHECK(refused.retry_after > Duration{0});
+  this->now += refused.retry_after;
+  this->client.Get(this->now, {"fleet", "a"});
+  const auto probe = this->Calls();
+  REQUIRE(probe.size() == 1);
+  this->Answer(probe[0], {200, 7, "x"});
+  CHECK(this->Only().version == 7);
+  CHECK(this->client.Health().mode == PlatformMode::kNormal);
+  CHECK(this->client.Health().Staleness(this->now + seconds(2)) == seconds(2));
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "platform client, malformed answers, end as unavailable and "
+                 "stop nothing") {
+  this->client.Hosts(this->now);
+  this->client.List(this->now, "fleet", "", "", 10);
+  this->client.Get(this->now, {"fleet", "a"});
+  for (const HttpCall& call : this->Calls()) {
+    this->Answer(call, {200, 0, "{\"hosts\":[3],\"objects\":[{}]}"});
+  }
+  const auto results = this->client.TakeResults();
+  REQUIRE(results.size() == 3);
+  for (const PlatformResult& result : results) {
+    CHECK(result.status == PlatformStatus::kUnavailable);
+  }
+}
+
+TEST_CASE(
+    "budget of calls, any number of hosts, sums to at most 80% of the "
+    "limits") {
+  for (const std::size_t hosts : {6U, 60U, 550U}) {
+    const CallBudget budget = ShareOfLimits({}, hosts);
+    const auto count = static_cast<double>(hosts);
+    CHECK(budget.reads_per_second * count <= 0.8 * 2000.0 + 1e-6);
+    CHECK(budget.writes_per_second * count <= 0.8 * 300.0 + 1e-6);
+  }
+}
+
+}  // namespace
+}  // namespace limpetlink
