--- /dev/null
+++ b/src/peers/cbor.cc
@@ -0,0 +1,104 @@
+#include <utility>
+#include <vector>
+
+#include "peers/peers.h"
+
+namespace limpetlink {
+namespace {
+
+using Json = nlohmann::json;
+
+/// @brief Walks a message without building it and stops at the first bound
+/// passed. The codec's recursion stops with it.
+class BoundsCheck : public nlohmann::json_sax<Json> {
+ public:
+  explicit BoundsCheck(const CborBounds& bounds) : bounds(bounds) {}
+
+  bool null() override { return this->Count(); }
+  bool boolean(bool /*value*/) override { return this->Count(); }
+  bool number_integer(number_integer_t /*value*/) override {
+    return this->Count();
+  }
+  bool number_unsigned(number_unsigned_t /*value*/) override {
+    return this->Count();
+  }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return this->Count();
+  }
+  bool string(string_t& /*value*/) override { return this->Count(); }
+  bool binary(binary_t& /*value*/) override { return this->Count(); }
+  bool start_object(std::size_t elements) override {
+    return this->Open(elements);
+  }
+  bool key(string_t& /*value*/) override { return this->Count(); }
+  bool end_object() override { return this->Close(); }
+  bool start_array(std::size_t elements) override {
+    return this->Open(elements);
+  }
+  bool end_array() override { return this->Close(); }
+  bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    return false;
+  }
+
+ private:
+  bool Count() { return ++this->values <= this->bounds.max_values; }
+
+  bool Open(std::size_t elements) {
+    ++this->depth;
+    const bool unknown_size = elements == static_cast<std::size_t>(-1);
+    const bool few = unknown_size || elements <= this->bounds.max_values;
+    return few && this->depth <= this->bounds.max_depth && this->Count();
+  }
+
+  bool Close() {
+    --this->depth;
+    return true;
+  }
+
+  CborBounds bounds;
+  std::size_t depth = 0;
+  std::size_t values = 0;
+};
+
+}  // namespace
+
+absl::StatusOr<Json> DecodeCbor(std::string_view bytes,
+                                const CborBounds& bounds) {
+  if (bytes.size() > bounds.max_bytes) {
+    return MakeStatus(ErrorCode::kPeerRefused, "message is too large");
+  }
+  BoundsCheck check(bounds);
+  const bool within = Json::sax_parse(bytes.begin(), bytes.end(), &check,
+                                      Json::input_format_t::cbor);
+  if (!within) {
+    return MakeStatus(ErrorCode::kPeerRefused, "message is malformed");
+  }
+  Json value = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  if (value.is_discarded()) {
+    return MakeStatus(ErrorCode::kPeerRefused, "message is malformed");
+  }
+  return value;
+}
+
+std::string EncodeCbor(const Json& value) {
+  std::string bytes;
+  Json::to_cbor(value, bytes);
+  return bytes;
+}
+
+Json CborBinary(std::string_view bytes) {
+  return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+bool ReadCborBinary(const Json& value, std::string* bytes) {
+  if (!value.is_binary()) {
+    return false;
+  }
+  const auto& binary = value.get_binary();
+  bytes->assign(binary.begin(), binary.end());
+  return true;
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/peers/detail/envelope.h
@@ -0,0 +1,81 @@
+/// @file
+/// @brief PeerEnvelope: who sent a message and which slice reads it.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "base/base.h"
+#include "ports/ports.h"
+
+namespace limpetlink {
+
+/// @brief Version of the envelope; a host refuses any other.
+inline constexpr std::uint32_t kPeerEnvelopeVersion = 1;
+
+/// @brief Largest frame between hosts, in bytes: a whole document of 1 MB with
+/// its envelope.
+inline constexpr std::size_t kMaxPeerFrameBytes = 1088UL * 1024UL;
+
+/// @brief Longest host id in an envelope, in bytes.
+inline constexpr std::size_t kMaxHostIdBytes = 128;
+
+/// @brief Which slice reads the payload.
+enum class PeerKind { kMembership, kConfiguration, kDispatch, kRequest };
+
+template <>
+struct EnumTable<PeerKind> {
+  static constexpr EnumName<PeerKind> kRows[] = {
+      {PeerKind::kMembership, "membership"},
+      {PeerKind::kConfiguration, "configuration"},
+      {PeerKind::kDispatch, "dispatch"},
+      {PeerKind::kRequest, "request"}};
+};
+
+/// @brief One message between entry hosts.
+struct PeerEnvelope {
+  std::uint32_t version = kPeerEnvelopeVersion;
+  HostId from;
+  PeerKind kind = PeerKind::kMembership;
+  std::string payload;  ///< CBOR of the slice
+};
+
+/// @brief Writes an envelope as a CBOR array [version, from, kind, payload].
+std::string EncodePeerEnvelope(const PeerEnvelope& envelope);
+
+/// @brief Reads an envelope.
+/// @param bytes a frame
+/// @return the envelope; peer.101 when malformed, too large or of another
+/// version
+absl::StatusOr<PeerEnvelope> DecodePeerEnvelope(std::string_view bytes);
+
+/// @brief Frames taken and refused.
+struct PeerCounters {
+  std::uint64_t accepted = 0;
+  std::uint64_t malformed = 0;  ///< also of another envelope version
+  std::uint64_t oversized = 0;
+  std::uint64_t wrong_sender = 0;  ///< the envelope names another host than
+                                   ///< the one that authenticated
+};
+
+/// @brief Opens frames from authenticated peers and counts those refused.
+/// @note Example:
+/// @code
+/// const auto envelope = gate.Open(frame);
+/// if (envelope.ok()) { route(*envelope); }
+/// @endcode
+class PeerGate {
+ public:
+  /// @return the envelope, or peer.101
+  absl::StatusOr<PeerEnvelope> Open(const PeerFrame& frame);
+
+  /// @return frames counted since the start
+  const PeerCounters& Counters() const { return this->counters; }
+
+ private:
+  PeerCounters counters;
+};
+
+}  // namespace limpetlink
