--- a/src/streams/tests/sse_test.cc
+++ b/src/streams/tests/sse_test.cc
@@ -65,14 +65,16 @@
 }
 
 TEST_CASE("engine frame, malformed, is an error with upstream.104") {
-  for (const char* data :
-       {"", "[]", "{\"generation\":\"\",\"offset\":0,\"text\":\"a\"}",
-        "{\"generation\":\"g\",\"offset\":-1,\"text\":\"a\"}",
-        "{\"generation\":\"g\",\"offset\":0}",
-        "{\"generation\":\"g\",\"offset\":0,\"text\":1}",
-        "{\"generation\":\"g\",\"offset\":0,\"finish_reason\":\"x\"}",
-        "{\"generation\":\"g\",\"offset\":0,\"text\":\"a\","
-        "\"finish_reason\":\"stop\"}"}) {
+  const std::vector<std::string> malformed = {
+      "",
+      "[]",
+      R"({"generation":"","offset":0,"text":"a"})",
+      R"({"generation":"g","offset":-1,"text":"a"})",
+      R"({"generation":"g","offset":0})",
+      R"({"generation":"g","offset":0,"text":1})",
+      R"({"generation":"g","offset":0,"finish_reason":"x"})",
+      R"({"generation":"g","offset":0,"text":"a","finish_reason":"stop"})"};
+  for (const std::string& data : malformed) {
     const auto frame = ParseEngineFrame({"", "", data});
     CHECK(ErrorCodeOf(frame.status()) == ErrorCode::kUpstreamMalformed);
   }
