--- /dev/null
+++ b/src/configuration/delta.cc
@@ -0,0 +1,132 @@
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "configuration/configuration.h"
+
+namespace limpetlink {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kSpliceOverhead = 20;  ///< bytes of the two lengths
+
+std::string Dump(const Json& value) {
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::size_t CommonHead(std::string_view a, std::string_view b) {
+  const std::size_t most = std::min(a.size(), b.size());
+  const auto end = a.begin() + static_cast<std::ptrdiff_t>(most);
+  return static_cast<std::size_t>(
+      std::mismatch(a.begin(), end, b.begin()).first - a.begin());
+}
+
+std::size_t CommonTail(std::string_view a, std::string_view b,
+                       std::size_t most) {
+  std::size_t size = 0;
+  while (size < most && a[a.size() - 1 - size] == b[b.size() - 1 - size]) {
+    ++size;
+  }
+  return size;
+}
+
+DocumentDelta MakeSplice(std::string_view old_text, std::string_view new_text) {
+  const std::size_t shorter = std::min(old_text.size(), new_text.size());
+  const std::size_t head = CommonHead(old_text, new_text);
+  const std::size_t tail = CommonTail(old_text, new_text, shorter - head);
+  DocumentDelta delta;
+  delta.form = DeltaForm::kSplice;
+  delta.keep_head = head;
+  delta.keep_tail = tail;
+  delta.bytes =
+      std::string(new_text.substr(head, new_text.size() - head - tail));
+  return delta;
+}
+
+absl::Status Misfit() {
+  return MakeStatus(ErrorCode::kFleetMalformed, "delta does not fit its base");
+}
+
+absl::StatusOr<std::string> ApplyPatch(const std::string& patch,
+                                       std::string_view base_text) {
+  const Json base = Json::parse(base_text, nullptr, false);
+  const Json steps = Json::parse(patch, nullptr, false);
+  if (base.is_discarded() || steps.is_discarded()) {
+    return Misfit();
+  }
+  // The library tells a patch that does not fit by an exception only.
+  try {
+    return Dump(base.patch(steps));
+  } catch (const Json::exception&) {
+    return Misfit();
+  }
+}
+
+absl::StatusOr<std::string> ApplySplice(const DocumentDelta& delta,
+                                        std::string_view base_text) {
+  const bool fits = delta.keep_head <= base_text.size() &&
+                    delta.keep_tail <= base_text.size() - delta.keep_head;
+  if (!fits) {
+    return Misfit();
+  }
+  std::string text(base_text.substr(0, delta.keep_head));
+  text += delta.bytes;
+  text += base_text.substr(base_text.size() - delta.keep_tail);
+  return text;
+}
+
+}  // namespace
+
+absl::StatusOr<std::string> CanonicalText(std::string_view json) {
+  const Json value = Json::parse(json, nullptr, false);
+  if (!value.is_object()) {
+    return MakeStatus(ErrorCode::kFleetMalformed, "not a JSON object");
+  }
+  return Dump(value);
+}
+
+DocumentDelta MakeDelta(std::uint64_t from, std::string_view old_text,
+                        std::uint64_t to, std::string_view new_text) {
+  DocumentDelta delta = MakeSplice(old_text, new_text);
+  std::string patch = DifferenceAsPatch(old_text, new_text);
+  if (patch.size() < delta.bytes.size() + kSpliceOverhead) {
+    delta = DocumentDelta{};
+    delta.form = DeltaForm::kPatch;
+    delta.bytes = std::move(patch);
+  }
+  if (delta.bytes.size() + kSpliceOverhead >= new_text.size()) {
+    delta = DocumentDelta{};
+    delta.form = DeltaForm::kWhole;
+    delta.bytes = std::string(new_text);
+  }
+  delta.from = delta.form == DeltaForm::kWhole ? 0 : from;
+  delta.to = to;
+  delta.digest = StableHash(new_text);
+  return delta;
+}
+
+absl::StatusOr<std::string> ApplyDelta(const DocumentDelta& delta,
+                                       std::string_view base_text) {
+  absl::StatusOr<std::string> text = delta.bytes;
+  if (delta.form == DeltaForm::kPatch) {
+    text = ApplyPatch(delta.bytes, base_text);
+  } else if (delta.form == DeltaForm::kSplice) {
+    text = ApplySplice(delta, base_text);
+  }
+  if (text.ok() && StableHash(*text) != delta.digest) {
+    return Misfit();
+  }
+  return text;
+}
+
+std::string DifferenceAsPatch(std::string_view from_json,
+                              std::string_view to_json) {
+  const Json from = Json::parse(from_json, nullptr, false);
+  const Json to = Json::parse(to_json, nullptr, false);
+  if (from.is_discarded() || to.is_discarded()) {
+    return "[]";
+  }
+  return Dump(Json::diff(from, to));
+}
+
+}  // namespace limpetlink
--- a/src/configuration/detail/store.h
+++ b/src/configuration/detail/store.h
@@ -15,6 +15,7 @@
 #include "absl/status/status.h"
 #include "base/base.h"
 #include "configuration/detail/delta.h"
+#include "configuration/detail/wire.h"
 #include "platform/platform.h"
 
 namespace limpetlink {
@@ -24,8 +25,8 @@
   HostId self;
   std::string fleet_name;      ///< of the object of kind "fleet"
   std::uint32_t watchers = 3;  ///< hosts that watch the platform, of all
-  Duration watch_wait{std::chrono::seconds(3)};
-  Duration stale_after{std::chrono::seconds(5)};  ///< no host confirmed the
+  Duration watch_wait{std::chrono::seconds(2)};
+  Duration stale_after{std::chrono::seconds(7)};  ///< no host confirmed the
                                                   ///< version for so long: all
                                                   ///< hosts share in polling
   double shared_polls_per_second = 5.0;           ///< of all hosts together
@@ -154,27 +155,40 @@
     Instant until = kNever;
   };
 
+  // store.cc
   void Refresh(Instant now);
   void NoticeGap(Instant now);
   void AskPlatform(Instant now, Duration wait);
+  void HandleUnchanged(Instant now, Duration age);
   void AskPeersInOutage(Instant now);
   void CheckOutageStart(Instant now);
   void Confirm(Instant now, Duration age);
   bool Offer(Instant now, std::uint64_t version, std::string_view text,
              const DocumentDelta* delta);
   void Keep(DocumentDelta delta);
+  bool SharedPollDue(Instant now);
+  Duration Jitter(Duration full);
+  // spread.cc
+  ConfigurationDigest OwnDigest(Instant now) const;
   void Announce(Instant now);
-  void HandleDigest(Instant now, const HostId& from, std::uint64_t version,
-                    Duration age);
+  void SendDigest(Instant now);
+  void HandleDigest(Instant now, const HostId& from,
+                    const ConfigurationDigest& digest);
+  void NoteOutageAnswer(Instant now, const HostId& from,
+                        const ConfigurationDigest& digest);
   void HandlePull(Instant now, const HostId& from, std::uint64_t have);
   void HandleDeltas(Instant now, const HostId& from,
-                    std::vector<DocumentDelta> deltas);
+                    const ConfigurationDeltas& message);
+  void AdoptChain(Instant now, std::uint64_t version, const std::string& text,
+                  const std::vector<const DocumentDelta*>& used);
+  void StartPull(Instant now);
   void SendPull(Instant now, const HostId& to, std::uint64_t have,
                 std::uint64_t version);
+  void CheckPull(Instant now);
   void Send(const HostId& to, std::string bytes);
-  std::vector<const DocumentDelta*> ChainFrom(std::uint64_t have) const;
+  std::vector<DocumentDelta> ChainFrom(std::uint64_t have) const;
+  std::vector<HostId> PickNeighbours(std::uint32_t count);
   bool TakeWholeToken(Instant now);
-  bool SharedPollDue(Instant now);
 
   ConfigurationSettings settings;
   PlatformClient* platform;
@@ -192,8 +206,11 @@
   Instant refresh_began{};
   Instant next_digest{};
   Instant next_platform{};
-  Instant next_shared_poll{};
+  Instant next_shared_poll = kNever;
+  Instant next_outage_ask{};
   std::uint64_t open_op = 0;
+  Instant open_at{};
+  Duration open_wait{0};
   Pull pull;
   std::map<HostId, std::uint64_t> newer_at;  ///< peers known to have newer
   std::set<HostId> outage_answers;
--- /dev/null
+++ b/src/configuration/store.cc
@@ -0,0 +1,263 @@
+#include <algorithm>
+#include <utility>
+
+#include "configuration/configuration.h"
+#include "configuration/detail/wire.h"
+
+namespace limpetlink {
+namespace {
+
+constexpr Duration kWatchSpacing = std::chrono::milliseconds(200);
+constexpr Duration kRetryPlatform = std::chrono::milliseconds(800);
+constexpr Duration kAskPeersEvery = std::chrono::seconds(1);
+constexpr std::uint32_t kExtraOutagePeers = 2;
+
+}  // namespace
+
+ConfigurationStore::ConfigurationStore(ConfigurationSettings settings,
+                                       PlatformClient* platform,
+                                       ValidateDocument validate)
+    : settings(std::move(settings)),
+      platform(platform),
+      validate(std::move(validate)),
+      random(this->settings.seed ^ StableHash(this->settings.self.value)),
+      live{this->settings.self} {}
+
+void ConfigurationStore::Start(Instant now) {
+  this->started = true;
+  this->last_step = now;
+  this->next_digest = now + this->settings.digest_interval;
+  this->Refresh(now);
+}
+
+void ConfigurationStore::Refresh(Instant now) {
+  this->ready = false;
+  this->refresh_began = now;
+  this->platform_away = false;
+  this->outage_answers.clear();
+  this->pull = Pull{};
+  if (this->open_op != 0) {
+    this->platform->Cancel(PlatformOp{this->open_op});
+    this->open_op = 0;
+  }
+  this->AskPlatform(now, Duration{0});
+}
+
+void ConfigurationStore::NoticeGap(Instant now) {
+  const bool frozen =
+      this->started && now - this->last_step > this->settings.frozen_margin;
+  this->last_step = std::max(this->last_step, now);
+  if (frozen) {
+    this->Refresh(now);
+  }
+}
+
+void ConfigurationStore::OnHosts(Instant now, const std::vector<HostId>& live,
+                                 const std::vector<HostId>& neighbours) {
+  this->live = live;
+  this->neighbours = neighbours;
+  const std::vector<HostId> chosen = RendezvousOwners(
+      "watch/" + this->settings.fleet_name, live, this->settings.watchers);
+  const bool watches = std::find(chosen.begin(), chosen.end(),
+                                 this->settings.self) != chosen.end();
+  if (watches && !this->watching) {
+    this->next_platform = now;
+  }
+  this->watching = watches;
+}
+
+void ConfigurationStore::AskPlatform(Instant now, Duration wait) {
+  if (this->open_op != 0) {
+    return;
+  }
+  const ObjectKey key{std::string(kFleetKind), this->settings.fleet_name};
+  const std::uint64_t known = std::max(this->version, this->refused_version);
+  const PlatformOp op = known == 0
+                            ? this->platform->Get(now, key)
+                            : this->platform->Watch(now, key, known, wait);
+  this->open_op = op.value;
+  this->open_at = now;
+  this->open_wait = known == 0 ? Duration{0} : wait;
+  ++this->counters.platform_calls;
+}
+
+bool ConfigurationStore::OnPlatform(Instant now, const PlatformResult& result) {
+  if (result.op.value != this->open_op || this->open_op == 0) {
+    return false;
+  }
+  this->open_op = 0;
+  const Duration age = now - this->open_at;
+  switch (result.status) {
+    case PlatformStatus::kOk:
+      this->Offer(now, result.version, result.bytes, nullptr);
+      this->next_platform = now + kWatchSpacing;
+      if (result.version <= this->version) {
+        this->Confirm(now, age);
+        this->ready = true;
+      } else {
+        this->platform_away = true;  // refused: an older one is all there is
+      }
+      break;
+    case PlatformStatus::kUnchanged:
+      this->HandleUnchanged(now, age);
+      break;
+    case PlatformStatus::kAbsent:
+      this->next_platform = now + this->Jitter(kRetryPlatform);
+      break;
+    default:
+      this->platform_away = true;
+      this->next_platform =
+          now + this->Jitter(std::max(kRetryPlatform, result.retry_after));
+      break;
+  }
+  return true;
+}
+
+void ConfigurationStore::HandleUnchanged(Instant now, Duration age) {
+  this->next_platform = now + kWatchSpacing;
+  if (this->refused_version > this->version) {
+    this->platform_away = true;
+    return;
+  }
+  this->Confirm(now, std::max(Duration{0}, age - this->open_wait));
+  this->ready = this->version != 0;
+}
+
+Duration ConfigurationStore::Jitter(Duration full) {
+  return FromSeconds(ToSeconds(full) * (0.5 + this->random.Fraction()));
+}
+
+void ConfigurationStore::Confirm(Instant now, Duration age) {
+  const Instant at = now - age;
+  if (!this->confirmed_at || *this->confirmed_at < at) {
+    this->confirmed_at = at;
+  }
+}
+
+Duration ConfigurationStore::ConfirmedAge(Instant now) const {
+  return this->confirmed_at ? now - *this->confirmed_at : Duration::max();
+}
+
+bool ConfigurationStore::Offer(Instant now, std::uint64_t version,
+                               std::string_view text,
+                               const DocumentDelta* delta) {
+  if (version <= this->version || version == this->refused_version) {
+    return false;
+  }
+  const auto canonical = CanonicalText(text);
+  const bool valid = canonical.ok() && this->validate(*canonical).ok();
+  if (!valid) {
+    ++this->counters.refused_documents;
+    this->refused_version = std::max(this->refused_version, version);
+    return false;
+  }
+  if (delta != nullptr) {
+    this->Keep(*delta);
+  } else if (this->version != 0) {
+    this->Keep(MakeDelta(this->version, this->text, version, *canonical));
+  }
+  this->version = version;
+  this->text = *canonical;
+  this->confirmed_at.reset();
+  ++this->counters.adopted;
+  this->actions.emplace_back(ConfigurationAdopted{version, this->text});
+  this->Announce(now);
+  return true;
+}
+
+void ConfigurationStore::Keep(DocumentDelta delta) {
+  if (delta.form == DeltaForm::kWhole) {
+    this->deltas.clear();
+    this->delta_bytes = 0;
+    return;
+  }
+  this->delta_bytes += delta.bytes.size();
+  this->deltas.push_back(std::move(delta));
+  while (this->delta_bytes > this->settings.kept_delta_bytes) {
+    this->delta_bytes -= this->deltas.front().bytes.size();
+    this->deltas.erase(this->deltas.begin());
+  }
+}
+
+bool ConfigurationStore::SharedPollDue(Instant now) {
+  const bool stale = this->version != 0 &&
+                     this->ConfirmedAge(now) > this->settings.stale_after;
+  if (!stale) {
+    this->next_shared_poll = kNever;
+    return false;
+  }
+  const double period = static_cast<double>(this->live.size()) /
+                        this->settings.shared_polls_per_second;
+  if (this->next_shared_poll == kNever) {
+    const Duration first = FromSeconds(period * this->random.Fraction());
+    this->next_shared_poll = now + first;
+  }
+  if (now < this->next_shared_poll) {
+    return false;
+  }
+  this->next_shared_poll = now + this->Jitter(FromSeconds(period));
+  return true;
+}
+
+void ConfigurationStore::Tick(Instant now) {
+  this->NoticeGap(now);
+  this->CheckPull(now);
+  if (this->next_platform <= now && (this->watching || !this->ready)) {
+    const bool wait = this->ready && this->watching;
+    this->AskPlatform(now, wait ? this->settings.watch_wait : Duration{0});
+  }
+  if (this->SharedPollDue(now)) {
+    this->AskPlatform(now, Duration{0});
+  }
+  if (this->next_digest <= now) {
+    this->next_digest = now + this->Jitter(this->settings.digest_interval);
+    this->SendDigest(now);
+  }
+  if (!this->ready && this->platform_away) {
+    this->AskPeersInOutage(now);
+    this->CheckOutageStart(now);
+  }
+}
+
+void ConfigurationStore::AskPeersInOutage(Instant now) {
+  if (now < this->next_outage_ask || this->neighbours.empty()) {
+    return;
+  }
+  this->next_outage_ask = now + kAskPeersEvery;
+  const std::uint32_t count = this->settings.outage_peers + kExtraOutagePeers;
+  for (const HostId& peer : this->PickNeighbours(count)) {
+    this->Send(peer, EncodeConfiguration(ConfigurationPull{this->version}));
+  }
+}
+
+void ConfigurationStore::CheckOutageStart(Instant now) {
+  const std::size_t others = this->live.size() - 1;
+  const std::size_t needed =
+      std::min<std::size_t>(this->settings.outage_peers, others);
+  const bool waited =
+      now - this->refresh_began >= this->settings.spreading_time;
+  const bool enough = needed > 0 && this->outage_answers.size() >= needed;
+  if (waited && enough && this->version != 0 && this->pull.version == 0) {
+    this->ready = true;
+  }
+}
+
+Instant ConfigurationStore::NextWakeup() const {
+  Instant next = this->next_digest;
+  if (this->open_op == 0 && (this->watching || !this->ready)) {
+    next = std::min(next, this->next_platform);
+  }
+  if (this->pull.version != 0) {
+    next = std::min(next, this->pull.until);
+  }
+  if (!this->ready && this->platform_away) {
+    next = std::min(next, this->next_outage_ask);
+  }
+  return std::min(next, this->next_shared_poll);
+}
+
+std::vector<ConfigurationAction> ConfigurationStore::TakeActions() {
+  return std::exchange(this->actions, {});
+}
+
+}  // namespace limpetlink
