Call a difference of documents FleetDifference

Cause: the configuration slice names an operator's change FleetChange too. Change: the fleet slice's types are FleetDifference and FleetDifferenceKind.

--- a/src/fleet/detail/diff.h
+++ b/src/fleet/detail/diff.h
@@ -12,7 +12,7 @@
 namespace limpetlink {
 
 /// @brief What happened to a part of the document.
-enum class FleetChangeKind {
+enum class FleetDifferenceKind {
   kAdded,
   kRemoved,
   kChanged,
@@ -20,17 +20,17 @@
 };
 
 template <>
-struct EnumTable<FleetChangeKind> {
-  static constexpr EnumName<FleetChangeKind> kRows[] = {
-      {FleetChangeKind::kAdded, "added"},
-      {FleetChangeKind::kRemoved, "removed"},
-      {FleetChangeKind::kChanged, "changed"},
-      {FleetChangeKind::kReordered, "reordered"}};
+struct EnumTable<FleetDifferenceKind> {
+  static constexpr EnumName<FleetDifferenceKind> kRows[] = {
+      {FleetDifferenceKind::kAdded, "added"},
+      {FleetDifferenceKind::kRemoved, "removed"},
+      {FleetDifferenceKind::kChanged, "changed"},
+      {FleetDifferenceKind::kReordered, "reordered"}};
 };
 
 /// @brief One difference between two documents.
-struct FleetChange {
-  FleetChangeKind kind = FleetChangeKind::kChanged;
+struct FleetDifference {
+  FleetDifferenceKind kind = FleetDifferenceKind::kChanged;
   std::string subject;  ///< list and identifier, as "organisations/dairy"; or a
                         ///< list or member of the document
   std::string member;   ///< of the subject, as "weight"; empty for the whole
@@ -47,17 +47,17 @@
 /// @note Complexity: n log n in the number of aggregates.
 /// @note Example:
 /// @code
-/// for (const FleetChange& change : DiffFleet(old_fleet, new_fleet)) {
+/// for (const FleetDifference& change : DiffFleet(old_fleet, new_fleet)) {
 ///   std::cout << ToText(change) << '\n';
 ///   // changed organisations/dairy: weight 1.0 -> 2.0
 /// }
 /// @endcode
-std::vector<FleetChange> DiffFleet(const FleetDocument& before,
-                                   const FleetDocument& after);
+std::vector<FleetDifference> DiffFleet(const FleetDocument& before,
+                                       const FleetDocument& after);
 
 /// @brief Renders a difference as one line without a line end.
 /// @param change any difference
-std::string ToText(const FleetChange& change);
+std::string ToText(const FleetDifference& change);
 
 /// @brief Makes the JSON patch (RFC 6902) that turns one document into another.
 /// @param before the document that the receiver has
--- a/src/fleet/diff.cc
+++ b/src/fleet/diff.cc
@@ -14,21 +14,21 @@
 
 /// Compares the members of one aggregate. Both sides have the same members.
 void DiffMembers(const std::string& subject, const Json& before,
-                 const Json& after, std::vector<FleetChange>* changes) {
+                 const Json& after, std::vector<FleetDifference>* changes) {
   for (const auto& member : after.items()) {
     const Json& old_value = before.at(member.key());
     if (old_value != member.value()) {
-      changes->push_back({FleetChangeKind::kChanged, subject, member.key(),
+      changes->push_back({FleetDifferenceKind::kChanged, subject, member.key(),
                           old_value.dump(), member.value().dump()});
     }
   }
 }
 
 void DiffList(const std::string& name, const Json& before, const Json& after,
-              std::vector<FleetChange>* changes) {
+              std::vector<FleetDifference>* changes) {
   const ListMatch match = MatchLists(before, after);
   for (const std::size_t index : match.removed) {
-    changes->push_back({FleetChangeKind::kRemoved,
+    changes->push_back({FleetDifferenceKind::kRemoved,
                         absl::StrCat(name, "/", ElementKey(before[index])), "",
                         before[index].dump(), ""});
   }
@@ -38,21 +38,21 @@
       DiffMembers(subject, before[*match.origins[i]], after[i], changes);
     } else {
       changes->push_back(
-          {FleetChangeKind::kAdded, subject, "", "", after[i].dump()});
+          {FleetDifferenceKind::kAdded, subject, "", "", after[i].dump()});
     }
   }
   if (!match.same_order) {
-    changes->push_back({FleetChangeKind::kReordered, name, "", "", ""});
+    changes->push_back({FleetDifferenceKind::kReordered, name, "", "", ""});
   }
 }
 
 }  // namespace
 
-std::vector<FleetChange> DiffFleet(const FleetDocument& before,
-                                   const FleetDocument& after) {
+std::vector<FleetDifference> DiffFleet(const FleetDocument& before,
+                                       const FleetDocument& after) {
   const Json old_json = ToJson(before);
   const Json new_json = ToJson(after);
-  std::vector<FleetChange> changes;
+  std::vector<FleetDifference> changes;
   for (const auto& member : new_json.items()) {
     if (IsChangeLabel(member.key())) {
       continue;
@@ -63,25 +63,25 @@
     } else if (member.value().is_object()) {
       DiffMembers(member.key(), old_value, member.value(), &changes);
     } else if (old_value != member.value()) {
-      changes.push_back({FleetChangeKind::kChanged, member.key(), "",
+      changes.push_back({FleetDifferenceKind::kChanged, member.key(), "",
                          old_value.dump(), member.value().dump()});
     }
   }
   return changes;
 }
 
-std::string ToText(const FleetChange& change) {
+std::string ToText(const FleetDifference& change) {
   const std::string_view kind = ToText(change.kind);
   std::string line = absl::StrCat(absl::string_view(kind.data(), kind.size()),
                                   " ", change.subject);
   switch (change.kind) {
-    case FleetChangeKind::kAdded:
+    case FleetDifferenceKind::kAdded:
       return absl::StrCat(line, ": ", change.after);
-    case FleetChangeKind::kRemoved:
+    case FleetDifferenceKind::kRemoved:
       return absl::StrCat(line, ": ", change.before);
-    case FleetChangeKind::kReordered:
+    case FleetDifferenceKind::kReordered:
       return line;
-    case FleetChangeKind::kChanged:
+    case FleetDifferenceKind::kChanged:
       break;
   }
   const std::string member = change.member.empty() ? "" : change.member + " ";
--- a/src/fleet/tests/diff_test.cc
+++ b/src/fleet/tests/diff_test.cc
@@ -7,9 +7,9 @@
 namespace {
 
 /// Two equal documents; each test changes the second.
-class FleetDifference {
+class FleetDiffing {
  protected:
-  FleetDifference() {
+  FleetDiffing() {
     const std::string digest_a(64, 'a');
     const std::string digest_b(64, 'b');
     this->before.name = "test";
@@ -32,7 +32,7 @@
 
   std::vector<std::string> Lines() const {
     std::vector<std::string> lines;
-    for (const FleetChange& change : DiffFleet(this->before, this->after)) {
+    for (const FleetDifference& change : DiffFleet(this->before, this->after)) {
       lines.push_back(ToText(change));
     }
     return lines;
@@ -51,14 +51,14 @@
 
 using TextLines = std::vector<std::string>;
 
-TEST_CASE_METHOD(FleetDifference, "fleet difference, equal, is empty") {
+TEST_CASE_METHOD(FleetDiffing, "fleet difference, equal, is empty") {
   this->after.change_id = "c2";
   this->after.author = "someone";
   CHECK(this->Lines().empty());
   this->CheckPatch();
 }
 
-TEST_CASE_METHOD(FleetDifference, "fleet difference, changes, are named") {
+TEST_CASE_METHOD(FleetDiffing, "fleet difference, changes, are named") {
   SECTION("changed members") {
     this->after.organisations[0].weight = 3;
     this->after.weights.tail = 0.75;
@@ -83,7 +83,7 @@
   this->CheckPatch();
 }
 
-TEST_CASE_METHOD(FleetDifference,
+TEST_CASE_METHOD(FleetDiffing,
                  "fleet patch, an element in the middle goes, stays small") {
   this->after.upstreams.erase(this->after.upstreams.begin() + 1);
   this->after.upstreams[0].checks_fencing = false;
@@ -99,8 +99,7 @@
   this->CheckPatch();
 }
 
-TEST_CASE_METHOD(FleetDifference,
-                 "fleet patch, unfit or harmful, gives faults") {
+TEST_CASE_METHOD(FleetDiffing, "fleet patch, unfit or harmful, gives faults") {
   CHECK_FALSE(PatchFleet(this->before, "{").Ok());
   CHECK_FALSE(
       PatchFleet(this->before, R"([{"op":"remove","path":"/upstreams/77"}])")
