Add membership by probes, with its proofs on joined cores

Cause: ownership needs each host's view of the live ones at a constant cost, and the platform's host list lags. Change: probes of ring neighbours at distances 1, 2, 4 and so on, indirect probes, suspicion with incarnations, records and broadcasts riding on messages, table sync by bucket digests, slow probes of the dead, the host list as second source, and a freeze noticed by the gap between steps. Found: a sync reply from before a freeze, delivered after it, made the view current; the test of it failed first (Current() was true) and passes since the reply's sequence is checked. Ruled out: suspecting when nothing at all was heard since the probe left, as the prober may be the one that is cut off (after three such it is believed).

--- a/src/membership/detail/membership.h
+++ b/src/membership/detail/membership.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -170,7 +171,8 @@
 
   struct Record {
     Member member;
-    Instant changed{};  ///< when the state last changed here
+    std::uint64_t ring = 0;  ///< place on the ring
+    Instant changed{};       ///< when the state last changed here
     Instant suspect_until = kNever;
     bool unverified = false;  ///< only listed; not live until it is heard
     bool listed = false;
@@ -188,31 +190,38 @@
     HostId relay_to;  ///< set when probing for another host
     std::uint64_t relay_sequence = 0;
   };
+  using ItemKey = std::pair<std::uint32_t, std::string>;
 
   // membership.cc
   void NoticeGap(Instant now);
   void RunTimers(Instant now);
   void ExpireSuspicions(Instant now);
   void Forget(Instant now);
+  void ReadList(Instant now);
+  void AddListed(Instant now, const ListedHost& host);
+  void NoteContested(const HostId& from, const Member& heard);
   void Emit();
   void Rebuild();
   // probe.cc
   void ProbeNext(Instant now);
-  void ProbeDead(Instant now);
+  void ProbeCandidates(Instant now);
   void CheckProbes(Instant now);
+  void AskHelpers(const Probe& probe, std::uint64_t sequence);
+  void FailProbe(Instant now, const Probe& probe);
   void SendProbe(Instant now, const HostId& to, const HostId& relay_to,
                  std::uint64_t relay_sequence);
-  void HandleProbe(Instant now, const HostId& from,
-                   const GossipMessage& message);
+  void HandleProbe(const HostId& from, const GossipMessage& message);
   void HandleAck(Instant now, const HostId& from, const GossipMessage& message);
   void HandleProbeRequest(Instant now, const HostId& from,
                           const GossipMessage& message);
   void Suspect(Instant now, const HostId& host);
+  std::int64_t Stretch() const { return 1 + this->awareness; }
   // spread.cc
-  void Merge(Instant now, const Member& heard);
-  void MergeSelf(Instant now, const Member& heard);
   void Heard(Instant now, const HostId& from);
-  void Store(Instant now, const Member& member);
+  void Merge(Instant now, const Member& heard, bool passed_on);
+  void MergeSelf(const Member& heard);
+  void Store(Instant now, Record* record, const Member& member, bool passed_on);
+  void Erase(const HostId& host);
   void TakeBroadcast(Instant now, const Broadcast& item);
   void AddItems(const HostId& to, GossipMessage* message);
   void GossipNow(Instant now);
@@ -220,44 +229,54 @@
   std::uint32_t SendsOf() const;
   void SendTo(const HostId& to, GossipMessage message);
   // sync.cc
-  void SyncWith(Instant now, const HostId& to);
+  void SyncWith(const HostId& to);
   void MaybeSync(Instant now, const HostId& from, std::uint64_t digest);
-  void HandleSyncRequest(Instant now, const HostId& from,
-                         const GossipMessage& message);
+  void HandleSyncRequest(const HostId& from, const GossipMessage& message);
   void HandleSyncReply(Instant now, const GossipMessage& message);
   std::uint64_t TableDigest() const;
-  std::vector<std::uint64_t> BucketDigests() const;
+  void ToggleDigest(const Record& record);
   static std::size_t BucketOf(const HostId& host);
   static std::uint64_t DigestOf(const Member& member);
-  void RefreshDigest(const Member* before, const Member* after);
-  void ReadList(Instant now);
 
   MembershipSettings settings;
   PlatformClient* platform;
   Random random;
   Member self;
-  bool left = false;
+  std::uint32_t self_sends_left = 0;
+  HostId contested;  ///< is told its own record with the next message
   bool current = false;
+  std::uint64_t current_from = 0;  ///< least sync that makes it current
   bool started = false;
-  bool dirty = false;                ///< live or neighbours may have changed
+  bool dirty = true;                 ///< live or neighbours may have changed
   std::map<HostId, Record> records;  ///< of the other hosts
-  std::map<std::pair<std::uint32_t, std::string>, Item> items;
+  std::set<HostId> fresh;            ///< records with sends left
+  std::set<HostId> suspects;
+  std::set<HostId> candidates;  ///< dead or only listed: probed slowly
+  std::map<ItemKey, Item> items;
+  std::set<ItemKey> fresh_items;
   std::map<std::uint64_t, Probe> probes;
   std::uint64_t next_sequence = 1;
-  std::uint32_t awareness = 0;  ///< own missed probes; stretches the times
-  std::size_t next_neighbour = 0;
+  std::uint32_t awareness = 0;      ///< signs that this host is slow or cut off
+  std::uint32_t silent_probes = 0;  ///< failed while nothing at all was heard
+  std::size_t probe_cursor = 0;
+  std::size_t gossip_cursor = 0;
   std::vector<std::uint64_t> bucket_digests;
   std::vector<HostId> live;
   std::vector<HostId> neighbours;
-  std::vector<HostId> targets;  ///< neighbours that this host probes
+  std::vector<HostId> targets;   ///< neighbours that this host probes
+  std::vector<HostId> shuffled;  ///< neighbours in a random order
   std::string payload;
   std::uint64_t list_op = 0;
   Instant last_step{};
+  Instant last_heard{};
+  Instant last_match{};
+  Instant alone_at = kNever;  ///< with no answer until then, it is alone
   Instant next_probe{};
-  Instant next_dead_probe{};
+  Instant next_candidate{};
   Instant next_gossip{};
   Instant next_sync{};
   Instant next_list{};
+  Instant next_forget{};
   MembershipCounters counters;
   std::vector<MembershipAction> actions;
 };
--- /dev/null
+++ b/src/membership/sync.cc
@@ -0,0 +1,91 @@
+#include <utility>
+
+#include "membership/membership.h"
+
+namespace limpetlink {
+namespace {
+
+constexpr Duration kMismatchBefore = std::chrono::seconds(3);
+
+}  // namespace
+
+std::size_t Membership::BucketOf(const HostId& host) {
+  return StableHash(host.value) % kBuckets;
+}
+
+std::uint64_t Membership::DigestOf(const Member& member) {
+  const std::uint64_t state =
+      StableHash(member.id.value, member.boot * 31 + member.incarnation);
+  return IsLive(member.state) ? state : 0;
+}
+
+void Membership::ToggleDigest(const Record& record) {
+  if (!record.unverified) {
+    this->bucket_digests[BucketOf(record.member.id)] ^= DigestOf(record.member);
+  }
+}
+
+std::uint64_t Membership::TableDigest() const {
+  std::uint64_t digest = DigestOf(this->self);
+  for (const std::uint64_t bucket : this->bucket_digests) {
+    digest ^= bucket;
+  }
+  return digest;
+}
+
+void Membership::MaybeSync(Instant now, const HostId& from,
+                           std::uint64_t digest) {
+  if (digest == this->TableDigest()) {
+    this->last_match = now;
+    return;
+  }
+  const bool lasting = now - this->last_match >= kMismatchBefore;
+  if (!lasting || now < this->next_sync) {
+    return;
+  }
+  this->next_sync = now + this->settings.sync_interval;
+  this->SyncWith(from);
+}
+
+void Membership::SyncWith(const HostId& to) {
+  ++this->counters.syncs;
+  GossipMessage request;
+  request.kind = GossipKind::kSyncRequest;
+  request.sequence = this->next_sequence++;
+  request.buckets = this->bucket_digests;
+  request.buckets[BucketOf(this->self.id)] ^= DigestOf(this->self);
+  request.members.push_back(this->self);
+  this->SendTo(to, std::move(request));
+}
+
+void Membership::HandleSyncRequest(const HostId& from,
+                                   const GossipMessage& message) {
+  if (message.buckets.size() != kBuckets) {
+    ++this->counters.refused_messages;
+    return;
+  }
+  std::vector<std::uint64_t> own = this->bucket_digests;
+  own[BucketOf(this->self.id)] ^= DigestOf(this->self);
+  GossipMessage reply;
+  reply.kind = GossipKind::kSyncReply;
+  reply.sequence = message.sequence;
+  reply.members.push_back(this->self);
+  for (const auto& [id, record] : this->records) {
+    const std::size_t bucket = BucketOf(id);
+    const bool differs = own[bucket] != message.buckets[bucket];
+    if (differs && !record.unverified) {
+      reply.members.push_back(record.member);
+    }
+  }
+  this->SendTo(from, std::move(reply));
+}
+
+void Membership::HandleSyncReply(Instant now, const GossipMessage& message) {
+  if (message.sequence < this->current_from) {
+    return;  // answers a question from before the host was frozen
+  }
+  this->current = true;
+  this->last_match = now;
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/tests/hosts/host_group.h
@@ -0,0 +1,137 @@
+/// @file
+/// @brief Several hosts' cores (membership, configuration, platform client)
+/// joined by an in-memory message fake under virtual time.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "configuration/configuration.h"
+#include "membership/membership.h"
+#include "peers/peers.h"
+#include "platform/platform.h"
+#include "platform/tests/fake_platform.h"
+
+namespace limpetlink::testing {
+
+/// @brief How a group is built and what befalls its messages.
+struct GroupOptions {
+  std::size_t hosts = 6;
+  std::uint64_t seed = 1;
+  Duration least_delay{std::chrono::milliseconds(2)};
+  Duration most_delay{std::chrono::milliseconds(25)};
+  double loss = 0.0;  ///< share of peer messages that vanish
+  MembershipSettings membership;
+  ConfigurationSettings configuration;
+  /// Seconds of processor time so far, for measurements; may be empty.
+  std::function<double()> processor_clock;
+};
+
+/// @brief One host of a group and what was counted of it.
+struct GroupHost {
+  HostId id;
+  std::uint64_t boots = 0;
+  bool up = false;
+  Instant frozen_until{};
+  std::unique_ptr<PlatformClient> client;
+  std::unique_ptr<Membership> membership;
+  std::unique_ptr<ConfigurationStore> configuration;
+  Instant wake = kNever;
+  std::uint64_t frames = 0;  ///< sent
+  std::uint64_t bytes = 0;   ///< of frames sent, envelope included
+  std::uint64_t largest_frame = 0;
+  double processor_seconds = 0;
+};
+
+/// @brief The hosts, their messages and their platform.
+class HostGroup {
+ public:
+  explicit HostGroup(GroupOptions options);
+
+  /// @brief Starts a host's process; a second start is a restart.
+  void StartHost(std::size_t index);
+  /// @brief Starts every host at about the same time.
+  void StartAll();
+  /// @brief Ends a host's process without a word.
+  void Kill(std::size_t index);
+  /// @brief Lets a host stand still; what is sent to it waits.
+  void Freeze(std::size_t index, Duration span);
+  /// @brief Lets virtual time pass.
+  void Run(Duration span);
+  /// @brief Runs until a condition holds; checked after each event.
+  /// @return whether it held within the limit
+  bool RunUntil(const std::function<bool()>& holds, Duration limit);
+  /// @brief Writes the fleet document as an operator's unconditional put.
+  /// @return the new version
+  std::uint64_t WriteDocument(const std::string& text);
+  /// @brief Answers watches whose object has become newer.
+  void WakeWatches();
+
+  /// @return whether each running host holds exactly the running ones for live
+  bool ViewsAgree() const;
+  /// @return the running hosts that have at least this version in force
+  std::size_t CountAtVersion(std::uint64_t version) const;
+  std::size_t CountUp() const;
+
+  GroupOptions options;
+  std::vector<GroupHost> hosts;
+  FakePlatform platform;
+  Instant now{std::chrono::seconds(1000)};
+  /// Whether a frame from a to b is lost; may be empty.
+  std::function<bool(std::size_t a, std::size_t b)> cut;
+  /// What befalls a host's call; may be empty.
+  std::function<CallFate(std::size_t host, const HttpCall& call)> fate;
+  /// Told of every adoption and live list; may be empty.
+  std::function<void(std::size_t host, const ConfigurationAdopted&)> on_adopted;
+  std::function<void(std::size_t host, const LiveHostsChanged&)> on_live;
+  std::function<void(std::size_t host, const MembershipAction&)> on_membership;
+
+ private:
+  struct Happening {
+    Instant at;
+    std::uint64_t order = 0;
+    std::size_t host = 0;
+    std::uint64_t boots = 0;
+    std::function<void()> run;  ///< empty: a wakeup
+  };
+  struct Later {
+    bool operator()(const Happening& a, const Happening& b) const {
+      return a.at != b.at ? a.at > b.at : a.order > b.order;
+    }
+  };
+  struct Waiter {
+    std::size_t host = 0;
+    std::uint64_t boots = 0;
+    HttpCall call;
+    Instant until{};
+  };
+
+  bool Step(Instant end);
+  void Schedule(Instant at, std::size_t host, std::function<void()> run);
+  void Settle(std::size_t index);
+  bool SettleOnce(std::size_t index);
+  void RouteResult(std::size_t index, const PlatformResult& result);
+  void HandleMembership(std::size_t index, const MembershipAction& action);
+  void SendFrame(std::size_t from, const HostId& to, PeerKind kind,
+                 const std::string& payload);
+  void Deliver(std::size_t to, const PeerFrame& frame);
+  void CarryCall(std::size_t index, const HttpCall& call);
+  void ServeCall(std::size_t index, const HttpCall& call, CallFate fate);
+  void AnswerCall(std::size_t index, std::uint64_t boots, CallId id,
+                  const FakePlatform::Answer& answer);
+  void GiveEvent(std::size_t index, const Event& event);
+  std::size_t IndexOf(const HostId& id) const;
+  Duration Delay();
+
+  Random random;
+  std::uint64_t next_order = 0;
+  std::uint64_t next_call = 0;
+  std::vector<Waiter> waiters;
+  std::priority_queue<Happening, std::vector<Happening>, Later> queue;
+};
+
+}  // namespace limpetlink::testing
--- /dev/null
+++ b/tests/hosts/membership_test.cc
@@ -0,0 +1,241 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "tests/hosts/host_group.h"
+
+namespace limpetlink::testing {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+class MembershipFixture {
+ public:
+  static GroupOptions Options(std::size_t hosts, std::uint64_t seed) {
+    GroupOptions options;
+    options.hosts = hosts;
+    options.seed = seed;
+    return options;
+  }
+
+  static bool Settles(HostGroup* group, Duration limit) {
+    return group->RunUntil([group] { return group->ViewsAgree(); }, limit);
+  }
+
+  static std::uint64_t Deaths(const HostGroup& group) {
+    std::uint64_t deaths = 0;
+    for (const GroupHost& host : group.hosts) {
+      deaths += host.up ? host.membership->Counters().deaths : 0;
+    }
+    return deaths;
+  }
+};
+
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, hosts start together, every host sees all") {
+  for (const std::size_t hosts : {1U, 3U, 6U, 25U}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      HostGroup group(Options(hosts, seed));
+      group.StartAll();
+      INFO("hosts " << hosts << " seed " << seed);
+      REQUIRE(Settles(&group, seconds(15)));
+      group.Run(seconds(8));
+      CHECK(group.hosts[0].membership->Current());
+    }
+  }
+}
+
+TEST_CASE_METHOD(
+    MembershipFixture,
+    "membership, a host dies, every other host drops it in seconds "
+    "and none is taken for dead") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    GroupOptions options = Options(3 + seed % 12, seed);
+    options.loss = seed % 2 == 0 ? 0.02 : 0.0;
+    HostGroup group(options);
+    group.StartAll();
+    REQUIRE(Settles(&group, seconds(15)));
+    group.Run(seconds(5));
+    group.Kill(1);
+    INFO("seed " << seed);
+    REQUIRE(Settles(&group, seconds(16)));
+    const std::uint64_t deaths = Deaths(group);
+    group.Run(seconds(60));
+    CHECK(Deaths(group) == deaths);
+    CHECK(group.ViewsAgree());
+  }
+}
+
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, a host restarts under its address, all see it "
+                 "live and learn of the restart") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    HostGroup group(Options(6, seed));
+    group.StartAll();
+    REQUIRE(Settles(&group, seconds(15)));
+    group.Run(seconds(5));
+    std::vector<bool> told(6, false);
+    group.on_membership = [&told](std::size_t host,
+                                  const MembershipAction& action) {
+      told[host] = told[host] || std::holds_alternative<HostRestarted>(action);
+    };
+    group.Kill(2);
+    group.Run(seconds(seed % 3 == 0 ? 20 : 1));
+    group.StartHost(2);
+    const auto all_know = [&] {
+      const auto count = std::count(told.begin(), told.end(), true);
+      return count == 5 && group.ViewsAgree();
+    };
+    INFO("seed " << seed);
+    CHECK(group.RunUntil(all_know, seconds(30)));
+    group.Run(seconds(10));
+    CHECK(group.ViewsAgree());
+  }
+}
+
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, a host leaves, others drop it at once") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    HostGroup group(Options(8, seed));
+    group.StartAll();
+    REQUIRE(Settles(&group, seconds(15)));
+    group.hosts[3].membership->Leave(group.now);
+    const auto dropped = [&group] {
+      return std::all_of(group.hosts.begin(), group.hosts.end(),
+                         [&group](const GroupHost& host) {
+                           const auto& live = host.membership->Live();
+                           return std::find(live.begin(), live.end(),
+                                            group.hosts[3].id) == live.end();
+                         });
+    };
+    INFO("seed " << seed);
+    CHECK(group.RunUntil(dropped, seconds(3)));
+    group.Run(seconds(30));
+    CHECK(dropped());
+  }
+}
+
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, two regions apart for minutes, each side goes on "
+                 "and both join again") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    HostGroup group(Options(12, seed));
+    group.StartAll();
+    REQUIRE(Settles(&group, seconds(15)));
+    group.cut = [](std::size_t a, std::size_t b) { return (a < 5) != (b < 5); };
+    const auto apart = [&group] {
+      return group.hosts[0].membership->Live().size() == 5 &&
+             group.hosts[11].membership->Live().size() == 7;
+    };
+    INFO("seed " << seed);
+    CHECK(group.RunUntil(apart, seconds(60)));
+    group.Run(minutes(6));
+    CHECK(apart());
+    group.cut = {};
+    CHECK(Settles(&group, seconds(60)));
+  }
+}
+
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, a frozen host wakes, blames nobody and is not "
+                 "current before it has asked") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    HostGroup group(Options(9, seed));
+    group.StartAll();
+    REQUIRE(Settles(&group, seconds(15)));
+    group.Run(seconds(8));
+    REQUIRE(group.hosts[4].membership->Current());
+    const std::uint64_t blamed =
+        group.hosts[4].membership->Counters().suspicions;
+    group.Freeze(4, seconds(30));
+    const auto woken = [&group] {
+      return group.hosts[4].membership->Counters().freezes == 1;
+    };
+    REQUIRE(group.RunUntil(woken, seconds(31)));
+    CHECK_FALSE(group.hosts[4].membership->Current());
+    INFO("seed " << seed);
+    CHECK(Settles(&group, seconds(15)));
+    CHECK(group.hosts[4].membership->Counters().suspicions == blamed);
+    const auto current = [&group] {
+      return group.hosts[4].membership->Current();
+    };
+    CHECK(group.RunUntil(current, seconds(5)));
+  }
+}
+
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, a reply to a question from before a freeze, does "
+                 "not make the view current") {
+  HostGroup group(Options(3, 1));
+  group.StartAll();
+  REQUIRE(Settles(&group, seconds(15)));
+  Membership& membership = *group.hosts[0].membership;
+  std::string asked;
+  group.on_membership = [&asked](std::size_t host,
+                                 const MembershipAction& action) {
+    const auto* send = std::get_if<MembershipSend>(&action);
+    const auto message =
+        DecodeGossip(send == nullptr || host != 0 ? "" : send->bytes);
+    if (message.ok() && message->kind == GossipKind::kSyncRequest) {
+      asked = send->bytes;
+    }
+  };
+  group.cut = [](std::size_t, std::size_t) { return true; };
+  group.Freeze(0, seconds(10));
+  REQUIRE(group.RunUntil([&asked] { return !asked.empty(); }, seconds(11)));
+  const GossipMessage first = *DecodeGossip(asked);
+  membership.Tick(group.now + seconds(20));  // frozen once more
+  GossipMessage reply;
+  reply.kind = GossipKind::kSyncReply;
+  reply.sequence = first.sequence;
+  membership.OnPeer(group.now + seconds(20), group.hosts[1].id,
+                    EncodeGossip(reply));
+  CHECK_FALSE(membership.Current());
+}
+
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, a broadcast, reaches every host once for each "
+                 "version") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    GroupOptions options = Options(30, seed);
+    options.loss = 0.02;
+    HostGroup group(options);
+    group.StartAll();
+    REQUIRE(Settles(&group, seconds(20)));
+    std::vector<int> received(30, 0);
+    group.on_membership = [&received](std::size_t host,
+                                      const MembershipAction& action) {
+      received[host] +=
+          std::holds_alternative<BroadcastReceived>(action) ? 1 : 0;
+    };
+    group.hosts[7].membership->Spread(group.now, {1, "worker-1", 5, "leaving"});
+    const auto everywhere = [&received] {
+      return std::count(received.begin(), received.end(), 1) == 29;
+    };
+    INFO("seed " << seed);
+    CHECK(group.RunUntil(everywhere, seconds(5)));
+    group.Run(seconds(10));
+    CHECK(everywhere());
+  }
+}
+
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, malformed messages, are refused and counted") {
+  HostGroup group(Options(3, 1));
+  group.StartAll();
+  REQUIRE(Settles(&group, seconds(15)));
+  Membership& membership = *group.hosts[0].membership;
+  Random random(3);
+  const std::string good = EncodeGossip(
+      {GossipKind::kProbe, 7, HostId{}, 9, {Member{}}, {}, {}, "x"});
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes = good;
+    bytes[random.Below(bytes.size())] = static_cast<char>(random() & 0xFFU);
+    membership.OnPeer(group.now, group.hosts[1].id, bytes);
+    membership.TakeActions();
+  }
+  CHECK(membership.Counters().refused_messages > 0);
+}
+
+}  // namespace
+}  // namespace limpetlink::testing
