--- /dev/null
+++ b/bench/decisions_mix.cc
@@ -0,0 +1,141 @@
+#include "bench/decisions_mix.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limpetlink::bench {
+namespace {
+
+constexpr std::uint32_t kPrefixTokens = 160;
+constexpr double kPrefixPart = 0.7;  // of the requests share a prefix
+constexpr std::size_t kMeanDraws = 200000;
+
+double Normal(Random& random) {
+  const double u = std::max(random.Fraction(), 1e-12);
+  const double v = random.Fraction();
+  return std::sqrt(-2.0 * std::log(u)) * std::cos(6.283185307179586 * v);
+}
+
+std::uint32_t Draw(Random& random, const LengthShape& shape) {
+  const double value = shape.median * std::exp(shape.sigma * Normal(random));
+  return static_cast<std::uint32_t>(
+      std::clamp<double>(value, shape.least, shape.most));
+}
+
+std::size_t DrawOrganisation(Random& random, const Mix& mix) {
+  double total = 0;
+  for (const double each : mix.demand) {
+    total += each;
+  }
+  double left = random.Fraction() * total;
+  for (std::size_t i = 0; i < mix.demand.size(); ++i) {
+    left -= mix.demand[i];
+    if (left < 0) {
+      return i;
+    }
+  }
+  return mix.demand.size() - 1;
+}
+
+}  // namespace
+
+Mix SwanCoast() {
+  Mix mix;
+  mix.name = "swan-coast";
+  mix.workers = 9;
+  mix.weights = {0.9, 0.3, 0.9};
+  mix.verdict_part = 0.6;
+  mix.verdict_prompt = {250, 0.3, 170, 2000};
+  mix.verdict_output = {12, 0.6, 2, 64};
+  mix.draft_prompt = {700, 0.5, 170, 6000};
+  mix.draft_output = {350, 1.2, 8, 32768};
+  mix.demand = {4, 3, 2, 1, 1, 1, 1, 1, 1, 1};
+  return mix;
+}
+
+Mix Syrtos() {
+  Mix mix;
+  mix.name = "syrtos";
+  mix.workers = 12;
+  mix.weights = {0.4, 0.9, 0.4};
+  mix.verdict_part = 0.4;
+  mix.verdict_prompt = {300, 0.3, 170, 2000};
+  mix.verdict_output = {20, 0.6, 2, 96};
+  mix.draft_prompt = {900, 0.6, 170, 8000};
+  mix.draft_output = {600, 1.3, 8, 32768};
+  mix.demand = {5, 3, 3, 1, 1, 1, 1, 1, 1, 1};
+  return mix;
+}
+
+std::vector<Arrival> DrawArrivals(const Mix& mix, double per_second,
+                                  Duration length, std::uint64_t seed) {
+  Random random(seed);
+  std::vector<Arrival> arrivals;
+  double at = 0;
+  while (true) {
+    at -= std::log(std::max(random.Fraction(), 1e-12)) / per_second;
+    if (at >= ToSeconds(length)) {
+      return arrivals;
+    }
+    Arrival arrival;
+    arrival.at = Instant{FromSeconds(at)};
+    arrival.organisation = DrawOrganisation(random, mix);
+    const bool verdict = random.Fraction() < mix.verdict_part;
+    arrival.request_class =
+        verdict ? RequestClass::kVerdict : RequestClass::kDraft;
+    arrival.prompt_tokens =
+        Draw(random, verdict ? mix.verdict_prompt : mix.draft_prompt);
+    arrival.output_tokens =
+        Draw(random, verdict ? mix.verdict_output : mix.draft_output);
+    if (random.Fraction() < kPrefixPart) {
+      arrival.prefix = static_cast<std::uint32_t>(1 + arrival.organisation * 2 +
+                                                  (verdict ? 1 : 0));
+      arrival.prefix_tokens = kPrefixTokens;
+    }
+    arrivals.push_back(arrival);
+  }
+}
+
+double MeanOutput(const Mix& mix) {
+  Random random(7);
+  double sum = 0;
+  for (std::size_t i = 0; i < kMeanDraws; ++i) {
+    const bool verdict = random.Fraction() < mix.verdict_part;
+    sum += Draw(random, verdict ? mix.verdict_output : mix.draft_output);
+  }
+  return sum / static_cast<double>(kMeanDraws);
+}
+
+FleetDocument MixDocument(const Mix& mix) {
+  FleetDocument document;
+  document.name = mix.name;
+  document.weights = mix.weights;
+  document.failure_domains = {{FailureDomainId{"d"}, "r"}};
+  document.models = {{"model", "1", {}, mix.max_output_tokens}};
+  for (std::size_t i = 0; i < mix.demand.size(); ++i) {
+    Organisation organisation;
+    organisation.id = OrganisationId{"org-" + std::to_string(i)};
+    organisation.max_concurrent = 100000;
+    organisation.requests_per_second = 100000;
+    document.organisations.push_back(organisation);
+  }
+  for (std::size_t i = 0; i < mix.workers; ++i) {
+    Upstream upstream;
+    upstream.id = UpstreamId{"w-" + std::to_string(100 + i)};
+    upstream.serves = "model";
+    upstream.url = "http://w";
+    upstream.failure_domain = FailureDomainId{"d"};
+    document.upstreams.push_back(upstream);
+  }
+  Route verdicts;
+  verdicts.name = "verdicts";
+  verdicts.model = "model";
+  verdicts.request_class = RequestClass::kVerdict;
+  Route drafts;
+  drafts.name = "drafts";
+  drafts.model = "model";
+  document.routes = {verdicts, drafts};
+  return document;
+}
+
+}  // namespace limpetlink::bench
