Add limpetctl: validate, diff, apply, export, history, status, requests, drain

Cause: operators had no way to put a document in force or to see it there. Ruled out: a thin apply of its own, since the configuration slice's ApplyFleet resolves lost answers already; taking the newest version as the base by itself, since a file made from an older one would silently undo a change. Change: src/operators drives the platform client and ApplyFleet with blocking libcurl calls; programs/limpetctl holds the commands apart from printing. A change id is made of base version, author and content, so that the same command after an unknown outcome is recognised as the same change. Before: nothing. After: 8 command cases pass against a platform in memory in virtual time: lost answer, conflict, repeat, outage, two versions. Conclusion: not yet run against the fake platform process or entry hosts.

--- /dev/null
+++ b/programs/limpetctl/tests/commands_test.cc
@@ -0,0 +1,218 @@
+#include "programs/limpetctl/commands.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace limpetlink {
+namespace {
+
+/// The platform's object API in memory, and what happens to single answers.
+class MemoryPlatform {
+ public:
+  HttpAnswer Exchange(const HttpCall& call) {
+    if (this->away) {
+      return {HttpEnd::kNotConnected, 0, {}, {}};
+    }
+    constexpr std::string_view kObjects = "/v1/objects/";
+    const std::string path = call.url.substr(call.url.find("/v1/"));
+    const std::string key = path.substr(kObjects.size());
+    HttpAnswer answer =
+        call.method == "PUT" ? this->Put(key, call) : this->Get(key);
+    if (call.method == "PUT" && this->lost_answers > 0 &&
+        key.rfind("fleet/", 0) == 0) {
+      --this->lost_answers;
+      return {HttpEnd::kCut, 0, {}, {}};
+    }
+    return answer;
+  }
+
+  struct Object {
+    std::uint64_t version = 0;
+    std::string bytes;
+  };
+
+  std::map<std::string, Object> objects;
+  int lost_answers = 0;
+  bool away = false;
+
+ private:
+  static HttpAnswer Answer(int status, const Object& object) {
+    const std::string tag = "\"" + std::to_string(object.version) + "\"";
+    return {HttpEnd::kComplete, status, {{"ETag", tag}}, object.bytes};
+  }
+
+  HttpAnswer Get(const std::string& key) {
+    const auto found = this->objects.find(key);
+    if (found == this->objects.end()) {
+      return {HttpEnd::kComplete, 404, {}, {}};
+    }
+    return Answer(200, found->second);
+  }
+
+  HttpAnswer Put(const std::string& key, const HttpCall& call) {
+    Object& object = this->objects[key];
+    const std::string* match = FindHeader(call.headers, "If-Match");
+    const bool absent = FindHeader(call.headers, "If-None-Match") != nullptr;
+    const std::string tag = "\"" + std::to_string(object.version) + "\"";
+    const bool holds =
+        match != nullptr ? *match == tag : !absent || object.version == 0;
+    if (!holds) {
+      return {HttpEnd::kComplete, 412, {{"ETag", tag}}, {}};
+    }
+    object.bytes = call.body;
+    ++object.version;
+    return Answer(object.version == 1 ? 201 : 200, {object.version, {}});
+  }
+};
+
+/// Runs commands against a platform in memory, in virtual time.
+class CtlCommands {
+ protected:
+  CtlCommands() {
+    this->context.settings.platform = "http://127.0.0.1:1";
+    this->context.settings.author = "ada";
+    this->context.settings.fleet = "swan-coast";
+    this->context.exchange = [this](const HttpCall& call) {
+      return this->platform.Exchange(call);
+    };
+    this->context.hooks.now = [this] { return this->now; };
+    this->context.hooks.sleep = [this](Instant until) {
+      this->now = std::max(until, this->now + std::chrono::milliseconds(1));
+    };
+  }
+
+  CommandResult Run(const std::string& command,
+                    std::vector<std::string> operands) {
+    this->context.operands = std::move(operands);
+    return RunCommand(command, this->context);
+  }
+
+  static std::string Example(const std::string& name) {
+    return std::string(LIMPETLINK_EXAMPLES) + "/" + name;
+  }
+
+  /// Writes a spoilt or changed copy of the example into the build folder.
+  static std::string Changed(const std::string& name, const std::string& from,
+                             const std::string& to) {
+    std::ifstream file(Example("swan-coast.json"));
+    std::ostringstream text;
+    text << file.rdbuf();
+    std::string changed = text.str();
+    const std::size_t place = changed.find(from);
+    REQUIRE(place != std::string::npos);
+    changed.replace(place, from.size(), to);
+    std::ofstream(name) << changed;
+    return name;
+  }
+
+  std::uint64_t Version() {
+    return this->platform.objects["fleet/swan-coast"].version;
+  }
+
+  MemoryPlatform platform;
+  CtlContext context;
+  Instant now{};
+};
+
+TEST_CASE_METHOD(CtlCommands, "validate, valid and spoilt file, tells which") {
+  const CommandResult valid =
+      this->Run("validate", {Example("swan-coast.json")});
+  CHECK(valid.code == ExitCode::kOk);
+  const std::string spoilt =
+      Changed("ctl_spoilt.json", "\"perth\"", "\"no region\"");
+  const CommandResult faults = this->Run("validate", {spoilt});
+  CHECK(faults.code == ExitCode::kFailed);
+  CHECK(faults.json["faults"][0]["pointer"] == "/failure_domains/0/region");
+  CHECK(this->Run("validate", {"no_such_file.json"}).code == ExitCode::kFailed);
+  std::remove(spoilt.c_str());
+}
+
+TEST_CASE_METHOD(CtlCommands, "wrong use, of any command, ends with 2") {
+  CHECK(this->Run("", {}).code == ExitCode::kUsage);
+  CHECK(this->Run("frobnicate", {}).code == ExitCode::kUsage);
+  CHECK(this->Run("apply", {}).code == ExitCode::kUsage);
+  CHECK(this->Run("diff", {"a", "b", "c"}).code == ExitCode::kUsage);
+  CHECK(this->Run("drain", {}).code == ExitCode::kUsage);
+  this->context.settings.fleet.clear();
+  CHECK(this->Run("export", {}).code == ExitCode::kUsage);
+}
+
+TEST_CASE_METHOD(CtlCommands, "apply, first time, creates the document") {
+  const CommandResult result = this->Run("apply", {Example("swan-coast.json")});
+  CHECK(result.code == ExitCode::kOk);
+  CHECK(result.json["version"] == 1);
+  const CommandResult exported = this->Run("export", {});
+  CHECK(exported.code == ExitCode::kOk);
+  CHECK(exported.json["document"]["author"] == "ada");
+}
+
+TEST_CASE_METHOD(CtlCommands, "apply, answer lost, is resolved by reading") {
+  this->platform.lost_answers = 1;
+  CHECK(this->Run("apply", {Example("swan-coast.json")}).code == ExitCode::kOk);
+  CHECK(this->Version() == 1);
+}
+
+TEST_CASE_METHOD(CtlCommands, "apply, the same again, changes nothing") {
+  this->Run("apply", {Example("swan-coast.json")});
+  const CommandResult again = this->Run("apply", {Example("swan-coast.json")});
+  CHECK(again.code == ExitCode::kOk);
+  CHECK(this->Version() == 1);
+}
+
+TEST_CASE_METHOD(CtlCommands, "apply, old base version, shows the conflict") {
+  this->Run("apply", {Example("swan-coast.json")});
+  const std::string other =
+      Changed("ctl_other.json", "\"weight\": 4.0", "\"weight\": 5.0");
+  const CommandResult conflict = this->Run("apply", {other});
+  CHECK(conflict.code == ExitCode::kConflict);
+  CHECK(conflict.json["current_version"] == 1);
+  REQUIRE(conflict.json["differences"].size() == 1);
+  CHECK(conflict.json["differences"][0]["subject"] ==
+        "organisations/panel-perth");
+  CHECK(conflict.json["differences"][0]["after"] == "5.0");
+  CHECK(this->Version() == 1);
+  SECTION("with the version that was read, it is applied") {
+    this->context.settings.base_version = 1;
+    CHECK(this->Run("apply", {other}).code == ExitCode::kOk);
+    const CommandResult history = this->Run("history", {});
+    REQUIRE(history.json["revisions"].size() == 2);
+    CHECK(history.json["revisions"][0]["version"] == 2);
+    CHECK(history.json["revisions"][1]["author"] == "ada");
+    CHECK(this->Run("diff", {other}).json["differences"].empty());
+  }
+  std::remove(other.c_str());
+}
+
+TEST_CASE_METHOD(CtlCommands, "apply, platform away, ends with a failure") {
+  this->platform.away = true;
+  const CommandResult result = this->Run("apply", {Example("swan-coast.json")});
+  CHECK(result.code == ExitCode::kFailed);
+  CHECK(result.json["outcome"] == "not_applied");
+}
+
+TEST_CASE_METHOD(CtlCommands,
+                 "status, hosts of two versions, are not uniform") {
+  this->context.settings.hosts = "127.0.0.1:1,127.0.0.1:2,127.0.0.1:3";
+  this->context.exchange = [](const HttpCall& call) -> HttpAnswer {
+    const char port = call.url[std::string("http://127.0.0.1:").size()];
+    if (port == '3') {
+      return {HttpEnd::kNotConnected, 0, {}, {}};
+    }
+    const std::string version(1, port);
+    return {HttpEnd::kComplete,
+            200,
+            {},
+            R"({"host":"h","ready":true,"fleet_version":)" + version + "}"};
+  };
+  const CommandResult result = this->Run("status", {});
+  CHECK(result.code == ExitCode::kFailed);
+  CHECK(result.json["uniform"] == false);
+  CHECK(result.json["hosts"][1]["status"]["fleet_version"] == 2);
+  CHECK(result.json["hosts"][2]["answered"] == false);
+}
+
+}  // namespace
+}  // namespace limpetlink
--- /dev/null
+++ b/src/operators/blocking_http.cc
@@ -0,0 +1,136 @@
+#include "operators/detail/blocking_http.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+
+namespace limpetlink {
+namespace {
+
+constexpr std::chrono::milliseconds kStandardTimeout{30000};
+
+/// The C library's integer type for options.
+using CurlLong = decltype(0L);
+
+struct EasyDeleter {
+  void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+};
+using EasyHandle = std::unique_ptr<CURL, EasyDeleter>;
+
+struct ListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+
+std::size_t TakeBody(char* data, std::size_t size, std::size_t count,
+                     void* target) {
+  auto* answer = static_cast<HttpAnswer*>(target);
+  const std::size_t bytes = size * count;
+  if (answer->body.size() + bytes > kMaxAnswerBytes) {
+    return 0;
+  }
+  answer->body.append(data, bytes);
+  return bytes;
+}
+
+std::string Trimmed(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r\n";
+  const std::size_t first = text.find_first_not_of(kBlank);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  const std::size_t last = text.find_last_not_of(kBlank);
+  return std::string(text.substr(first, last - first + 1));
+}
+
+std::size_t TakeHeader(char* data, std::size_t size, std::size_t count,
+                       void* target) {
+  auto* answer = static_cast<HttpAnswer*>(target);
+  const std::string_view line(data, size * count);
+  const std::size_t colon = line.find(':');
+  if (line.substr(0, 5) == "HTTP/") {
+    answer->headers.clear();
+  } else if (colon != std::string_view::npos) {
+    answer->headers.push_back(
+        {Trimmed(line.substr(0, colon)), Trimmed(line.substr(colon + 1))});
+  }
+  return line.size();
+}
+
+HeaderList MakeHeaders(const Headers& headers) {
+  HeaderList list;
+  const auto append = [&list](const std::string& line) {
+    curl_slist* longer = curl_slist_append(list.get(), line.c_str());
+    if (longer != nullptr) {
+      static_cast<void>(list.release());
+      list.reset(longer);
+    }
+  };
+  for (const Header& header : headers) {
+    append(header.name + ": " + header.value);
+  }
+  append("Expect:");  // send the body at once
+  return list;
+}
+
+CurlLong Milliseconds(Duration duration) {
+  return static_cast<CurlLong>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+void SetUp(CURL* handle, const HttpCall& call, const HeaderList& headers,
+           HttpAnswer* answer) {
+  const Duration total =
+      call.total_timeout.count() > 0 ? call.total_timeout : kStandardTimeout;
+  curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   Milliseconds(call.connect_timeout));
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, Milliseconds(total));
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, TakeBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, answer);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, TakeHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, answer);
+  if (!call.body.empty() || call.method == "PUT" || call.method == "POST") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(call.body.size()));
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.c_str());
+  }
+}
+
+HttpEnd EndOf(CURL* handle, CURLcode code) {
+  if (code == CURLE_OK) {
+    return HttpEnd::kComplete;
+  }
+  curl_off_t sending_began = 0;
+  curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T, &sending_began);
+  if (sending_began == 0) {
+    return HttpEnd::kNotConnected;
+  }
+  return code == CURLE_OPERATION_TIMEDOUT ? HttpEnd::kTimeout : HttpEnd::kCut;
+}
+
+}  // namespace
+
+HttpAnswer ExchangeOverCurl(const HttpCall& call) {
+  HttpAnswer answer;
+  const EasyHandle handle(curl_easy_init());
+  if (handle == nullptr) {
+    return answer;
+  }
+  const HeaderList headers = MakeHeaders(call.headers);
+  SetUp(handle.get(), call, headers, &answer);
+  const CURLcode code = curl_easy_perform(handle.get());
+  CurlLong status = 0;
+  curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
+  answer.status = static_cast<int>(status);
+  answer.end = EndOf(handle.get(), code);
+  return answer;
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/operators/host_queries.cc
@@ -0,0 +1,95 @@
+#include "operators/detail/host_queries.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "base/base.h"
+
+namespace limpetlink {
+namespace {
+
+constexpr std::chrono::seconds kHostTimeout{5};
+constexpr int kFirstFailureStatus = 300;
+
+HttpAnswer Ask(const HttpExchange& exchange, const HostAccess& access,
+               std::string_view method, std::string_view path) {
+  HttpCall call;
+  call.id = CallId{1};
+  call.method = std::string(method);
+  call.url = "http://" + access.address + std::string(path);
+  call.total_timeout = kHostTimeout;
+  if (!access.operator_key.empty()) {
+    call.headers.push_back({"Authorization", "Bearer " + access.operator_key});
+  }
+  return exchange(call);
+}
+
+absl::Status StatusOf(const HttpAnswer& answer) {
+  if (answer.end != HttpEnd::kComplete) {
+    return MakeStatus(ErrorCode::kUpstreamUnreachable, ToText(answer.end));
+  }
+  if (answer.status >= kFirstFailureStatus) {
+    return MakeStatus(ErrorCode::kUpstreamRefused,
+                      absl::StrCat(answer.status, " ", answer.body));
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace
+
+HostStatus QueryStatus(const HttpExchange& exchange, const HostAccess& access) {
+  HostStatus status;
+  status.address = access.address;
+  const HttpAnswer answer = Ask(exchange, access, "GET", "/v1/status");
+  const absl::Status asked = StatusOf(answer);
+  if (!asked.ok()) {
+    status.problem = absl::StrCat(asked.message());
+    return status;
+  }
+  const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+  if (!json.is_object()) {
+    status.problem = "the answer is not readable";
+    return status;
+  }
+  try {
+    status.host = json.value("host", std::string());
+    status.fleet_version = json.value("fleet_version", std::uint64_t{0});
+    status.ready = json.value("ready", false);
+    status.draining = json.value("draining", false);
+    status.body = answer.body;
+    status.answered = true;
+  } catch (const nlohmann::json::exception&) {
+    status.problem = "the answer is not readable";
+  }
+  return status;
+}
+
+absl::StatusOr<std::string> QueryRequests(const HttpExchange& exchange,
+                                          const HostAccess& access) {
+  const HttpAnswer answer = Ask(exchange, access, "GET", "/v1/requests");
+  const absl::Status asked = StatusOf(answer);
+  if (!asked.ok()) {
+    return asked;
+  }
+  return answer.body;
+}
+
+absl::Status OrderDrain(const HttpExchange& exchange,
+                        const HostAccess& access) {
+  return StatusOf(Ask(exchange, access, "POST", "/v1/drain"));
+}
+
+std::vector<std::string> SplitAddresses(std::string_view text) {
+  std::vector<std::string> parts;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    const std::string_view part = text.substr(0, comma);
+    if (!part.empty()) {
+      parts.emplace_back(part);
+    }
+    text = comma == std::string_view::npos ? "" : text.substr(comma + 1);
+  }
+  return parts;
+}
+
+}  // namespace limpetlink
