--- /dev/null
+++ b/tests/scenario/runner.cc
@@ -0,0 +1,77 @@
+#include "tests/scenario/runner.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace limpetlink::scenario {
+namespace {
+
+/// Carries out one step of any kind.
+class StepRunner {
+ public:
+  explicit StepRunner(const Fleet& fleet) : fleet(fleet) {}
+
+  absl::Status operator()(const ProcessStep& step) const {
+    return this->fleet.process(step);
+  }
+
+  absl::Status operator()(const FaultStep& step) const {
+    return this->fleet.fault(step);
+  }
+
+  absl::Status operator()(const CallStep& step) const {
+    return this->fleet.begin(RaceStep{{step}});
+  }
+
+  absl::Status operator()(const ApplyStep& step) const {
+    return this->fleet.begin(RaceStep{{step}});
+  }
+
+  absl::Status operator()(const RaceStep& step) const {
+    return this->fleet.begin(step);
+  }
+
+  absl::Status operator()(const ExpectStep& step) const {
+    const auto deadline = this->fleet.now() + step.within;
+    while (true) {
+      const nlohmann::json observed = this->fleet.observe(step.subject);
+      if (Matches(step.expected, observed)) {
+        return absl::OkStatus();
+      }
+      if (this->fleet.now() >= deadline) {
+        return absl::DeadlineExceededError(
+            absl::StrCat("seen of ", step.subject, ": ", observed.dump()));
+      }
+      this->fleet.pause();
+    }
+  }
+
+ private:
+  const Fleet& fleet;
+};
+
+}  // namespace
+
+ScenarioResult RunScenario(
+    const Scenario& scenario, const Fleet& fleet,
+    const std::function<void(const std::string& line)>& report) {
+  ScenarioResult result;
+  const absl::Status ready = fleet.set_up(scenario);
+  if (!ready.ok()) {
+    result.problem = absl::StrCat("set-up: ", ready.message());
+    return result;
+  }
+  for (std::size_t i = 0; i < scenario.steps.size(); ++i) {
+    const absl::Status done = std::visit(StepRunner(fleet), scenario.steps[i]);
+    if (!done.ok()) {
+      result.problem = absl::StrCat("step ", i + 1, " ", scenario.lines[i],
+                                    ": ", done.message());
+      return result;
+    }
+    ++result.steps_done;
+    report(scenario.lines[i]);
+  }
+  result.passed = true;
+  return result;
+}
+
+}  // namespace limpetlink::scenario
