Compose the entry host: completions, services, cluster, operator pages

Cause: the slices stood apart; nothing led from a caller's request to its one answer. Change: EntryHost routes events and decisions between a completion flow (streams, dispatch, resume tokens), a service flow (rules, idempotency log, one dispatch, retries and hedges of lookups), a cluster flow (document, membership, states of upstreams) and the reading of load reports. Small fakes of platform, engine and service in virtual time drive it in tests. Found on the way: an order repeated right after its answer was told 'in progress', since the outcome was not durable yet. Ruled out: waiting for the record before the answer, which would let the caller wait on the platform. The log now replays an outcome that is on its way to a segment.

--- a/src/base/detail/error.h
+++ b/src/base/detail/error.h
@@ -114,4 +114,12 @@
 /// @return the code, or nothing when the status carries none
 std::optional<ErrorCode> ErrorCodeOf(const absl::Status& status);
 
+/// @brief Reads what happened out of a status made by MakeStatus.
+/// @return the message without the leading code
+std::string DetailOf(const absl::Status& status);
+
+/// @brief Makes the problem that refuses a request nothing of which was sent.
+/// @param status made by MakeStatus; one without a code counts as request.101
+Problem RefusalOf(const absl::Status& status);
+
 }  // namespace limpetlink
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/cord.h"
@@ -160,4 +161,19 @@
   return ParseErrorCode(name);
 }
 
+std::string DetailOf(const absl::Status& status) {
+  absl::string_view message = status.message();
+  const std::optional<ErrorCode> code = ErrorCodeOf(status);
+  if (code) {
+    message.remove_prefix(
+        std::min(message.size(), Describe(*code).name.size() + 2));
+  }
+  return {message.data(), message.size()};
+}
+
+Problem RefusalOf(const absl::Status& status) {
+  return {ErrorCodeOf(status).value_or(ErrorCode::kRequestMalformed),
+          Outcome::kNotRun, DetailOf(status), std::nullopt};
+}
+
 }  // namespace limpetlink
--- a/src/base/tests/error_test.cc
+++ b/src/base/tests/error_test.cc
@@ -34,6 +34,9 @@
   CHECK(ErrorCodeOf(status) == ErrorCode::kFleetConflict);
   CHECK(status.code() == absl::StatusCode::kAborted);
   CHECK_FALSE(ErrorCodeOf(absl::OkStatus()).has_value());
+  CHECK(DetailOf(status) == "lost the race");
+  CHECK(RefusalOf(status).code == ErrorCode::kFleetConflict);
+  CHECK(RefusalOf(absl::InternalError("x")).detail == "x");
 }
 
 }  // namespace
--- /dev/null
+++ b/src/entry/cluster_flow.cc
@@ -0,0 +1,280 @@
+#include "entry/detail/cluster_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace limpetlink {
+namespace {
+
+/// Topic of the broadcasts that tell an upstream's state.
+constexpr std::uint32_t kUpstreamTopic = 1;
+
+PlatformSettings PlatformSettingsOf(const EntryHostSettings& settings) {
+  PlatformSettings platform;
+  platform.url = settings.platform_url;
+  platform.budget = ShareOfLimits(PlatformLimits{}, 1);
+  platform.seed = StableHash("platform", settings.seed);
+  return platform;
+}
+
+ConfigurationSettings ConfigurationSettingsOf(
+    const EntryHostSettings& settings) {
+  ConfigurationSettings configuration;
+  configuration.self = settings.self;
+  configuration.fleet_name = settings.fleet_name;
+  configuration.seed = StableHash("configuration", settings.seed);
+  return configuration;
+}
+
+MembershipSettings MembershipSettingsOf(const EntryHostSettings& settings) {
+  MembershipSettings membership;
+  membership.self = settings.self;
+  membership.address = settings.peer_address;
+  membership.boot = settings.seed;
+  membership.seed = StableHash("membership", settings.seed);
+  return membership;
+}
+
+absl::Status Validate(std::string_view text) {
+  const FleetParseResult parsed = ParseFleet(text);
+  if (parsed.Ok()) {
+    return absl::OkStatus();
+  }
+  const FleetFault& first = parsed.faults.front();
+  return MakeStatus(ErrorCode::kFleetInvalid,
+                    first.pointer + ": " + first.message);
+}
+
+}  // namespace
+
+ClusterFlow::ClusterFlow(HostContext& shared)
+    : shared(shared),
+      platform(PlatformSettingsOf(shared.settings),
+               [&shared] {
+                 return shared.calls.Open({CallPurpose::kPlatform, {}, {}});
+               }),
+      configuration(ConfigurationSettingsOf(shared.settings), &platform,
+                    Validate),
+      membership(MembershipSettingsOf(shared.settings), &platform) {}
+
+void ClusterFlow::Start() {
+  this->configuration.Start(this->shared.now);
+  this->membership.Start(this->shared.now);
+  this->Flush();
+}
+
+void ClusterFlow::Leave() {
+  this->membership.Leave(this->shared.now);
+  this->Flush();
+}
+
+// ---- Events of the adapters ----
+
+void ClusterFlow::OnPeerFrame(const PeerFrame& frame) {
+  const absl::StatusOr<PeerEnvelope> envelope = this->gate.Open(frame);
+  if (!envelope.ok()) {
+    this->shared.metrics.Add(Counter::kPeerFramesRefused);
+    return;
+  }
+  const Instant now = this->shared.now;
+  switch (envelope->kind) {
+    case PeerKind::kMembership:
+      this->membership.OnPeer(now, envelope->from, envelope->payload);
+      break;
+    case PeerKind::kConfiguration:
+      this->configuration.OnPeer(now, envelope->from, envelope->payload);
+      break;
+    case PeerKind::kDispatch:
+      this->shared.Dispatch(DispatchReceive{envelope->from, envelope->payload});
+      break;
+    case PeerKind::kRequest:
+      this->shared.metrics.Add(Counter::kPeerFramesRefused);
+      break;
+  }
+}
+
+void ClusterFlow::OnHead(const HttpHead& head) {
+  this->platform.OnHead(this->shared.now, head);
+}
+
+void ClusterFlow::OnChunk(const HttpChunk& chunk) {
+  this->platform.OnChunk(this->shared.now, chunk);
+}
+
+void ClusterFlow::OnDone(const HttpDone& done) {
+  this->shared.calls.Close(done.id);
+  this->platform.OnDone(this->shared.now, done);
+}
+
+void ClusterFlow::SendDispatch(const DispatchSend& send) {
+  this->SendToPeer(send.to, PeerKind::kDispatch, send.bytes);
+}
+
+// ---- Time and orders ----
+
+void ClusterFlow::Tick() {
+  const Instant now = this->shared.now;
+  this->platform.Tick(now);
+  this->configuration.Tick(now);
+  this->membership.Tick(now);
+}
+
+void ClusterFlow::Flush() {
+  const Instant now = this->shared.now;
+  for (const PlatformResult& result : this->platform.TakeResults()) {
+    if (!this->configuration.OnPlatform(now, result) &&
+        !this->membership.OnPlatform(now, result) && this->on_platform_result) {
+      this->on_platform_result(result);
+    }
+  }
+  for (const ConfigurationAction& action : this->configuration.TakeActions()) {
+    this->Carry(action);
+  }
+  for (const MembershipAction& action : this->membership.TakeActions()) {
+    this->Carry(action);
+  }
+  for (Action& action : this->platform.TakeActions()) {
+    if (const auto* cancel = std::get_if<HttpCancel>(&action)) {
+      this->shared.calls.Close(cancel->id);
+    }
+    this->shared.actions.push_back(std::move(action));
+  }
+}
+
+Instant ClusterFlow::NextWakeup() const {
+  return std::min({this->platform.NextWakeup(),
+                   this->configuration.NextWakeup(),
+                   this->membership.NextWakeup()});
+}
+
+bool ClusterFlow::Ready() const {
+  return this->configuration.Ready() && this->shared.document != nullptr;
+}
+
+// ---- Membership ----
+
+void ClusterFlow::Carry(const MembershipAction& action) {
+  const Instant now = this->shared.now;
+  if (const auto* send = std::get_if<MembershipSend>(&action)) {
+    const PeerEnvelope envelope{kPeerEnvelopeVersion,
+                                this->shared.settings.self,
+                                PeerKind::kMembership, send->bytes};
+    this->shared.actions.emplace_back(
+        PeerSend{send->to, send->address, EncodePeerEnvelope(envelope)});
+  } else if (const auto* change = std::get_if<LiveHostsChanged>(&action)) {
+    this->OnLiveHosts(*change);
+  } else if (const auto* item = std::get_if<BroadcastReceived>(&action)) {
+    this->OnBroadcast(item->item);
+  } else if (const auto* payload = std::get_if<ProbePayloadReceived>(&action)) {
+    this->configuration.OnDigest(now, payload->from, payload->bytes);
+  } else if (const auto* list = std::get_if<HostListRead>(&action)) {
+    this->OnHostList(*list);
+  }
+}
+
+void ClusterFlow::OnLiveHosts(const LiveHostsChanged& change) {
+  const Instant now = this->shared.now;
+  this->configuration.OnHosts(now, change.live, change.neighbours);
+  this->platform.SetBudget(now,
+                           ShareOfLimits(PlatformLimits{}, change.live.size()));
+  SetHosts hosts;
+  hosts.live = change.live;
+  this->shared.Dispatch(hosts);
+  this->on_change();
+}
+
+void ClusterFlow::OnHostList(const HostListRead& list) {
+  for (const ListedHost& host : list.hosts) {
+    if (host.role == ListedRole::kUpstream) {
+      const WorkerState state =
+          host.leaving ? WorkerState::kLeaving : WorkerState::kLive;
+      this->NoteUpstream(UpstreamId{host.id}, state);
+    }
+  }
+}
+
+// ---- States of upstreams ----
+
+void ClusterFlow::NoteUpstream(const UpstreamId& upstream, WorkerState state) {
+  const auto known = this->states.find(upstream);
+  const WorkerState before =
+      known == this->states.end() ? WorkerState::kLive : known->second;
+  if (before == state) {
+    return;
+  }
+  const std::uint64_t version = ++this->state_versions[upstream];
+  this->SetState(upstream, state);
+  this->membership.Spread(this->shared.now,
+                          Broadcast{kUpstreamTopic, upstream.value, version,
+                                    std::string(ToText(state))});
+}
+
+void ClusterFlow::OnBroadcast(const Broadcast& item) {
+  const std::optional<WorkerState> state = ParseEnum<WorkerState>(item.bytes);
+  if (item.topic != kUpstreamTopic || !state) {
+    this->shared.metrics.Add(Counter::kPeerFramesRefused);
+    return;
+  }
+  const UpstreamId upstream{item.key};
+  std::uint64_t& version = this->state_versions[upstream];
+  version = std::max(version, item.version);
+  this->SetState(upstream, *state);
+}
+
+void ClusterFlow::SetState(const UpstreamId& upstream, WorkerState state) {
+  if (state == WorkerState::kLive) {
+    this->states.erase(upstream);
+  } else {
+    this->states[upstream] = state;
+  }
+  this->shared.Dispatch(SetWorkerState{upstream, state});
+}
+
+// ---- Configuration ----
+
+void ClusterFlow::Carry(const ConfigurationAction& action) {
+  if (const auto* send = std::get_if<ConfigurationSend>(&action)) {
+    this->SendToPeer(send->to, PeerKind::kConfiguration, send->bytes);
+  } else if (const auto* adopted = std::get_if<ConfigurationAdopted>(&action)) {
+    this->Adopt(*adopted);
+  }
+}
+
+void ClusterFlow::Adopt(const ConfigurationAdopted& adopted) {
+  FleetParseResult parsed = ParseFleet(adopted.text);
+  if (!parsed.Ok() || adopted.version <= this->shared.fleet_version) {
+    return;
+  }
+  this->shared.document =
+      std::make_shared<const FleetDocument>(std::move(parsed.document));
+  this->shared.fleet_version = adopted.version;
+  this->shared.metrics.Add(Counter::kDocumentsAdopted);
+  this->membership.SetProbePayload(
+      this->configuration.Digest(this->shared.now));
+  this->shared.actions.emplace_back(
+      LogLine{LogLevel::kInfo,
+              "fleet document adopted",
+              {{"version", std::to_string(adopted.version)},
+               {"change_id", this->shared.document->change_id}}});
+  this->shared.Dispatch(Configure{this->shared.document});
+  for (const auto& [upstream, state] : this->states) {
+    this->shared.Dispatch(SetWorkerState{upstream, state});
+  }
+  this->on_change();
+}
+
+void ClusterFlow::SendToPeer(const HostId& to, PeerKind kind,
+                             std::string payload) {
+  const std::optional<std::string> address = this->membership.AddressOf(to);
+  if (!address) {
+    return;
+  }
+  const PeerEnvelope envelope{kPeerEnvelopeVersion, this->shared.settings.self,
+                              kind, std::move(payload)};
+  this->shared.actions.emplace_back(
+      PeerSend{to, *address, EncodePeerEnvelope(envelope)});
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/entry/completion_flow.cc
@@ -0,0 +1,615 @@
+#include "entry/detail/completion_flow.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "entry/detail/caller_access.h"
+#include "entry/detail/reply.h"
+
+namespace limpetlink {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t kTokensBetweenReports = 16;
+constexpr Duration kRetryAfterLoss = std::chrono::seconds(1);
+
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+const Route* FindRoute(const FleetDocument& document, const std::string& model,
+                       const std::string* wanted) {
+  for (const Route& route : document.routes) {
+    if (route.model == model && (wanted == nullptr || route.name == *wanted)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+const Model* FindModel(const FleetDocument& document, const std::string& name) {
+  for (const Model& model : document.models) {
+    if (model.name == name) {
+      return &model;
+    }
+  }
+  return nullptr;
+}
+
+StreamCallEnd CallEndOf(HttpEnd end) {
+  switch (end) {
+    case HttpEnd::kNotConnected:
+      return StreamCallEnd::kNotConnected;
+    case HttpEnd::kCut:
+      return StreamCallEnd::kCut;
+    case HttpEnd::kTimeout:
+      return StreamCallEnd::kTimeout;
+    case HttpEnd::kComplete:
+      break;
+  }
+  return StreamCallEnd::kComplete;
+}
+
+StreamCallEnd CallEndOfStatus(int status) {
+  constexpr int kNotFound = 404;
+  return status == kNotFound ? StreamCallEnd::kGone : StreamCallEnd::kRefused;
+}
+
+PlacementEnd PlacementEndOf(const RequestNewWorker& wanted) {
+  switch (wanted.cause) {
+    case StreamCallEnd::kNotConnected:
+      return PlacementEnd::kNotConnected;
+    case StreamCallEnd::kRefused:
+      return PlacementEnd::kRefused;
+    default:
+      return PlacementEnd::kLost;
+  }
+}
+
+}  // namespace
+
+CompletionFlow::CompletionFlow(HostContext& shared) : shared(shared) {}
+
+bool CompletionFlow::Owns(RequestId id) const {
+  return this->completions.count(id) != 0;
+}
+
+void CompletionFlow::Receive(const CallerRequest& request,
+                             CompletionKind kind) {
+  const absl::Status status = this->Accept(request, kind);
+  if (status.ok()) {
+    return;
+  }
+  this->shared.metrics.Add(Counter::kRefusals);
+  ReplyProblem(this->shared.actions, request.id, RefusalOf(status));
+}
+
+absl::Status CompletionFlow::Accept(const CallerRequest& request,
+                                    CompletionKind kind) {
+  const FleetDocument& document = *this->shared.document;
+  const absl::StatusOr<const Organisation*> organisation =
+      AuthenticateCaller(document, request.headers);
+  if (!organisation.ok()) {
+    return organisation.status();
+  }
+  absl::StatusOr<CompletionBody> body = ParseCompletionBody(kind, request.body);
+  if (!body.ok()) {
+    return body.status();
+  }
+  const Model* model = FindModel(document, body->model);
+  if (model == nullptr) {
+    return MakeStatus(ErrorCode::kRequestUnknownModel, body->model);
+  }
+  const Route* route =
+      FindRoute(document, body->model, FindHeader(request.headers, "X-Route"));
+  if (route == nullptr) {
+    return MakeStatus(ErrorCode::kRequestUnknownRoute,
+                      "the model has no such route");
+  }
+  const absl::StatusOr<Duration> wait =
+      CallerWait(request.headers, route->default_deadline, route->max_deadline);
+  if (!wait.ok()) {
+    return wait.status();
+  }
+  if (body->max_output_tokens == 0 ||
+      body->max_output_tokens > model->max_output_tokens) {
+    body->max_output_tokens = model->max_output_tokens;
+  }
+  StreamOptions options;
+  options.on_loss = body->stream ? route->on_loss : OnLoss::kRestart;
+  Completion completion{request.id, Stream(options)};
+  completion.organisation = (*organisation)->id;
+  completion.route = *route;
+  completion.body = *std::move(body);
+  completion.trace = BeginTrace(request.headers, this->shared.random);
+  completion.arrived = this->shared.now;
+  completion.deadline = this->shared.now + *wait;
+  completion.prompt_tokens = EstimatePromptTokens(completion.body.prompt);
+  completion.header = {kind, absl::StrCat("cmpl-", completion.trace.span_id),
+                       completion.body.model};
+  return this->TakeUp(request, completion);
+}
+
+absl::Status CompletionFlow::TakeUp(const CallerRequest& request,
+                                    Completion& completion) {
+  const std::string* last_event = FindHeader(request.headers, "Last-Event-ID");
+  absl::StatusOr<ResumeToken> token;
+  if (last_event != nullptr) {
+    token = ParseResumeToken(this->shared.settings.resume_secret,
+                             completion.organisation, *last_event);
+    if (!token.ok()) {
+      return token.status();
+    }
+  }
+  const AdmitResult admitted = this->shared.requests.Admit(
+      this->shared.now,
+      {completion.id, completion.organisation,
+       absl::StrCat("completion of ", completion.body.model),
+       completion.deadline, completion.trace.trace_id, completion.body.stream});
+  if (admitted != AdmitResult::kAdmitted) {
+    return MakeStatus(ErrorCode::kRequestDeadlinePast,
+                      "the deadline is not ahead");
+  }
+  Completion& kept =
+      this->completions.emplace(request.id, std::move(completion))
+          .first->second;
+  const Upstream* worker = last_event == nullptr
+                               ? nullptr
+                               : this->shared.FindUpstream(token->worker);
+  if (worker == nullptr) {
+    this->Submit(kept, false);
+    return absl::OkStatus();
+  }
+  kept.url = worker->url;
+  this->shared.metrics.Add(Counter::kStreamsResumed);
+  kept.tokens = static_cast<std::uint32_t>(token->offset);
+  this->Advance(kept,
+                StreamTakeUp{token->generation, token->worker, token->offset});
+  return absl::OkStatus();
+}
+
+void CompletionFlow::Submit(const Completion& completion, bool is_retry) {
+  SubmitRequest submit;
+  submit.request = completion.id;
+  submit.organisation = completion.organisation;
+  submit.target = completion.body.model;
+  submit.route = completion.route.name;
+  submit.request_class = completion.route.request_class;
+  submit.prompt_tokens = completion.prompt_tokens;
+  submit.max_output_tokens = completion.body.max_output_tokens;
+  submit.prefix_blocks =
+      PrefixBlocks(completion.body.model, completion.body.prompt);
+  submit.deadline = completion.deadline;
+  submit.is_retry = is_retry;
+  submit.excluded = completion.excluded;
+  this->shared.Dispatch(submit);
+}
+
+// ---- Decisions of the dispatcher ----
+
+void CompletionFlow::OnPlace(const Place& place) {
+  Completion& completion = this->completions.at(place.request);
+  completion.placed = true;
+  completion.url = place.url;
+  completion.priority = place.priority;
+  this->shared.metrics.Record(Timing::kQueueWait,
+                              this->shared.now - completion.arrived);
+  this->shared.requests.SetRunning(this->shared.now, completion.id,
+                                   place.worker.value);
+  const GenerationId generation{absl::StrCat(
+      this->shared.settings.self.value, ".",
+      absl::Hex(this->shared.settings.seed), ".", ++this->generations)};
+  this->Advance(completion, StreamBegin{generation, place.worker});
+}
+
+void CompletionFlow::OnRefuse(const Refuse& refuse) {
+  Completion& completion = this->completions.at(refuse.request);
+  completion.placed = false;
+  this->Advance(completion, StreamGiveUp{refuse.problem});
+}
+
+void CompletionFlow::OnWaiting(const Waiting& waiting) {
+  Completion& completion = this->completions.at(waiting.request);
+  completion.expected_wait = waiting.expected_wait;
+  this->shared.requests.SetWaiting(this->shared.now, completion.id,
+                                   waiting.place, waiting.expected_wait,
+                                   waiting.reason);
+}
+
+void CompletionFlow::OnSetPriority(const SetPriority& priority) {
+  Completion& completion = this->completions.at(priority.request);
+  if (completion.call.id.value == 0 ||
+      completion.stream.Worker() != priority.worker) {
+    return;
+  }
+  completion.priority = priority.priority;
+  HttpCall call;
+  call.method = "POST";
+  call.url = absl::StrCat(completion.url, "/v1/generations/",
+                          completion.stream.Generation().value, "/priority");
+  call.body = Dump({{"priority", priority.priority}});
+  call.headers = {{"Content-Type", "application/json"}};
+  call.total_timeout = std::chrono::seconds(2);
+  this->shared.StartHttp(
+      {CallPurpose::kDetached, completion.id, priority.worker},
+      std::move(call));
+}
+
+// ---- Events of the adapters ----
+
+void CompletionFlow::OnCallerGone(RequestId id) {
+  Completion& completion = this->completions.at(id);
+  this->Advance(completion, StreamCallerLeft{true});
+  this->Unplace(completion, PlacementEnd::kCancelled);
+  this->shared.requests.SetCallerLeft(id);
+  this->shared.requests.Finish(id);
+  this->Close(completion, "caller_gone");
+}
+
+void CompletionFlow::OnCallerDrained(const CallerDrained& drained) {
+  this->Advance(this->completions.at(drained.id),
+                StreamDrained{drained.buffered});
+}
+
+void CompletionFlow::OnHead(RequestId id, const HttpHead& head) {
+  constexpr int kOk = 200;
+  Completion& completion = this->completions.at(id);
+  completion.call.status = head.status;
+  const StreamAttempt attempt = completion.call.attempt;
+  if (head.status == kOk) {
+    this->Advance(completion, StreamCallAlive{attempt});
+    return;
+  }
+  this->shared.CancelHttp(head.id);
+  this->CloseCall(completion, "refused");
+  this->Advance(completion,
+                StreamCallEnded{attempt, CallEndOfStatus(head.status)});
+}
+
+void CompletionFlow::OnChunk(RequestId id, const HttpChunk& chunk) {
+  Completion& completion = this->completions.at(id);
+  const StreamAttempt attempt = completion.call.attempt;
+  const absl::StatusOr<std::vector<SseEvent>> events =
+      completion.call.decoder.Feed(chunk.bytes);
+  if (!events.ok()) {
+    this->shared.metrics.Add(Counter::kMalformedInput);
+    this->shared.CancelHttp(chunk.id);
+    this->CloseCall(completion, "malformed");
+    this->Advance(completion,
+                  StreamCallEnded{attempt, StreamCallEnd::kMalformed});
+    return;
+  }
+  for (const SseEvent& event : *events) {
+    absl::StatusOr<EngineFrame> frame = ParseEngineFrame(event);
+    if (!frame.ok()) {
+      this->shared.metrics.Add(Counter::kMalformedInput);
+      continue;
+    }
+    this->Advance(completion, StreamFrame{attempt, *std::move(frame)});
+    if (!this->Owns(id)) {
+      return;
+    }
+  }
+}
+
+void CompletionFlow::OnDone(RequestId id, const HttpDone& done) {
+  Completion& completion = this->completions.at(id);
+  const StreamAttempt attempt = completion.call.attempt;
+  this->CloseCall(completion, ToText(done.end));
+  this->Advance(completion, StreamCallEnded{attempt, CallEndOf(done.end)});
+}
+
+void CompletionFlow::OnDeadline(RequestId id) {
+  Completion& completion = this->completions.at(id);
+  this->shared.metrics.Add(Counter::kDeadlinesReached);
+  const Duration retry_after =
+      std::max(completion.expected_wait, kRetryAfterLoss);
+  this->Advance(
+      completion,
+      StreamGiveUp{{ErrorCode::kRequestDeadlineReached, Outcome::kUnknown,
+                    "the deadline was reached before the answer was whole",
+                    retry_after}});
+}
+
+void CompletionFlow::OnNoticeDue(const WaitNotice& notice) {
+  Completion& completion = this->completions.at(notice.id);
+  this->SendHead(completion);
+  const std::string text =
+      absl::StrCat("waiting place=", notice.place,
+                   " expected_wait_s=", ToSeconds(notice.expected_wait));
+  this->shared.actions.emplace_back(
+      ReplyBody{notice.id, EncodeSseComment(text)});
+}
+
+void CompletionFlow::Tick() {
+  while (!this->wakeups.empty() &&
+         this->wakeups.begin()->first <= this->shared.now) {
+    const RequestId id = this->wakeups.begin()->second;
+    this->Advance(this->completions.at(id), StreamTick{});
+  }
+}
+
+Instant CompletionFlow::NextWakeup() const {
+  return this->wakeups.empty() ? kNever : this->wakeups.begin()->first;
+}
+
+// ---- Orders of the stream ----
+
+void CompletionFlow::Advance(Completion& completion, StreamMessage message) {
+  const RequestId id = completion.id;
+  StreamActions orders =
+      completion.stream.Step(this->shared.now, std::move(message));
+  this->SetWakeup(completion, completion.stream.NextWakeup());
+  for (const StreamAction& order : orders) {
+    if (!this->Owns(id)) {
+      return;
+    }
+    std::visit(
+        [&](const auto& content) { this->CarryOut(completion, content); },
+        order);
+  }
+}
+
+void CompletionFlow::SetWakeup(Completion& completion, Instant at) {
+  if (completion.wakeup == at) {
+    return;
+  }
+  if (completion.wakeup != kNever) {
+    this->wakeups.erase({completion.wakeup, completion.id});
+  }
+  completion.wakeup = at;
+  if (at != kNever) {
+    this->wakeups.emplace(at, completion.id);
+  }
+}
+
+void CompletionFlow::CarryOut(Completion& completion, const StartCall& start) {
+  const json body = {{"model", completion.body.model},
+                     {"prompt", completion.body.prompt},
+                     {"max_tokens", completion.body.max_output_tokens},
+                     {"stream", true},
+                     {"generation", start.generation.value},
+                     {"priority", completion.priority}};
+  HttpCall call;
+  call.method = "POST";
+  call.url = absl::StrCat(completion.url, "/v1/completions");
+  call.headers = {{"Content-Type", "application/json"}};
+  call.body = Dump(body);
+  completion.tokens = 0;
+  this->OpenCall(completion, start.attempt, std::move(call));
+}
+
+void CompletionFlow::CarryOut(Completion& completion,
+                              const ResumeCall& resume) {
+  HttpCall call;
+  call.method = "GET";
+  call.url = absl::StrCat(completion.url, "/v1/generations/",
+                          resume.generation.value, "?offset=", resume.offset);
+  this->OpenCall(completion, resume.attempt, std::move(call));
+}
+
+void CompletionFlow::OpenCall(Completion& completion, StreamAttempt attempt,
+                              HttpCall call) {
+  GenerationCall& open = completion.call;
+  open = GenerationCall{};
+  open.attempt = attempt;
+  open.worker = completion.stream.Worker();
+  open.trace = ChildTrace(completion.trace, this->shared.random);
+  open.started = this->shared.now;
+  call.headers.push_back(TraceHeader(open.trace));
+  open.id = this->shared.StartHttp(
+      {CallPurpose::kGeneration, completion.id, open.worker}, std::move(call));
+}
+
+void CompletionFlow::CloseCall(Completion& completion,
+                               std::string_view result) {
+  if (completion.call.id.value == 0) {
+    return;
+  }
+  this->shared.calls.Close(completion.call.id);
+  this->shared.FinishSpan(completion.call.trace, "engine.call",
+                          completion.call.started,
+                          {{"upstream", completion.call.worker.value},
+                           {"generation", completion.stream.Generation().value},
+                           {"result", std::string(result)}});
+  completion.call.id = CallId{};
+}
+
+void CompletionFlow::CarryOut(Completion& completion,
+                              const AbandonCall& /*abandon*/) {
+  const CallId id = completion.call.id;
+  if (id.value != 0) {
+    this->shared.CancelHttp(id);
+    this->CloseCall(completion, "abandoned");
+  }
+}
+
+void CompletionFlow::CarryOut(Completion& completion, const PauseCall& pause) {
+  if (completion.call.id.value != 0) {
+    this->shared.actions.emplace_back(
+        HttpPause{completion.call.id, pause.paused});
+  }
+}
+
+void CompletionFlow::CarryOut(Completion& completion,
+                              const DeliverToken& token) {
+  const Instant now = this->shared.now;
+  if (completion.last_token == kNever) {
+    this->shared.metrics.Record(Timing::kFirstToken, now - completion.arrived);
+  } else {
+    this->shared.metrics.Record(Timing::kBetweenTokens,
+                                now - completion.last_token);
+  }
+  completion.last_token = now;
+  completion.tokens = static_cast<std::uint32_t>(token.offset + 1);
+  this->shared.metrics.Add(Counter::kTokensDelivered);
+  if (completion.placed && completion.tokens % kTokensBetweenReports == 0) {
+    this->shared.Dispatch(ReportProduced{completion.id, completion.tokens});
+  }
+  if (!completion.body.stream) {
+    completion.collected += token.text;
+    return;
+  }
+  this->SendEvent(completion,
+                  {this->MintToken(completion, token.offset + 1), "",
+                   WriteChunk(completion.header, token.text, "")});
+}
+
+void CompletionFlow::CarryOut(Completion& completion,
+                              const FinishStream& finish) {
+  this->Unplace(completion, PlacementEnd::kFinished);
+  if (!this->MayAnswer(completion)) {
+    return;
+  }
+  const std::string_view reason = ToText(finish.reason);
+  if (completion.body.stream) {
+    this->SendEvent(completion, {this->MintToken(completion, finish.tokens), "",
+                                 WriteChunk(completion.header, "", reason)});
+    this->SendEvent(completion, {"", "", "[DONE]"});
+    this->shared.actions.emplace_back(ReplyEnd{completion.id, false});
+  } else {
+    ReplyWhole(this->shared.actions, completion.id, 200, "application/json",
+               WriteWholeAnswer(completion.header, completion.collected, reason,
+                                completion.prompt_tokens,
+                                static_cast<std::uint32_t>(finish.tokens)));
+  }
+  this->Close(completion, "finished");
+}
+
+void CompletionFlow::CarryOut(Completion& completion,
+                              const EndIncomplete& end) {
+  this->Unplace(completion, PlacementEnd::kLost);
+  this->RefuseCaller(completion, end.problem);
+}
+
+void CompletionFlow::CarryOut(Completion& completion,
+                              const RestartStream& restart) {
+  this->shared.metrics.Add(Counter::kStreamsRestarted);
+  this->shared.Log(LogLevel::kWarning, "stream restarted", completion.trace,
+                   {{"dropped_generation", restart.dropped.value},
+                    {"generation", restart.generation.value}});
+  completion.collected.clear();
+  if (!completion.body.stream) {
+    return;
+  }
+  const json data = {{"dropped_generation", restart.dropped.value},
+                     {"dropped_tokens", restart.dropped_tokens},
+                     {"generation", restart.generation.value}};
+  this->SendEvent(completion, {"", "restart", Dump(data)});
+}
+
+void CompletionFlow::CarryOut(Completion& completion,
+                              const RequestNewWorker& wanted) {
+  completion.excluded = wanted.excluded;
+  this->shared.metrics.Add(Counter::kRetries);
+  this->shared.Log(LogLevel::kWarning, "engine lost", completion.trace,
+                   {{"upstream", completion.stream.Worker().value},
+                    {"cause", std::string(ToText(wanted.cause))},
+                    {"delivered", std::to_string(wanted.delivered)}});
+  this->Unplace(completion, PlacementEndOf(wanted));
+  this->Submit(completion, true);
+}
+
+void CompletionFlow::CarryOut(Completion& completion,
+                              const CancelGeneration& cancel) {
+  HttpCall call;
+  call.method = "DELETE";
+  call.url =
+      absl::StrCat(completion.url, "/v1/generations/", cancel.generation.value);
+  call.total_timeout = std::chrono::seconds(2);
+  this->shared.StartHttp({CallPurpose::kDetached, completion.id, cancel.worker},
+                         std::move(call));
+}
+
+// ---- Answers ----
+
+void CompletionFlow::SendHead(Completion& completion) {
+  if (completion.head_sent) {
+    return;
+  }
+  completion.head_sent = true;
+  this->shared.actions.emplace_back(
+      ReplyHead{completion.id,
+                200,
+                {{"Content-Type", "text/event-stream"},
+                 {"Cache-Control", "no-store"},
+                 {"X-Request-Id", completion.trace.trace_id}}});
+}
+
+void CompletionFlow::SendEvent(Completion& completion, const SseEvent& event) {
+  this->SendHead(completion);
+  this->shared.actions.emplace_back(ReplyBody{completion.id, EncodeSse(event)});
+}
+
+std::string CompletionFlow::MintToken(Completion& completion,
+                                      std::uint64_t offset) {
+  const GenerationId& generation = completion.stream.Generation();
+  if (!completion.minter || completion.minted_generation != generation) {
+    const ResumeToken token{completion.stream.Worker(), generation, 0,
+                            this->shared.fleet_version, completion.route.name};
+    completion.minter.emplace(this->shared.settings.resume_secret,
+                              completion.organisation, token);
+    completion.minted_generation = generation;
+  }
+  return completion.minter->At(offset);
+}
+
+void CompletionFlow::Unplace(Completion& completion, PlacementEnd end) {
+  const bool waiting =
+      completion.stream.Phase() == StreamPhase::kWaitingForWorker;
+  if (completion.placed || waiting || end == PlacementEnd::kCancelled) {
+    this->shared.Dispatch(ReportEnded{completion.id, end, completion.tokens});
+  }
+  completion.placed = false;
+}
+
+void CompletionFlow::RefuseCaller(Completion& completion, Problem problem) {
+  if (!this->MayAnswer(completion)) {
+    return;
+  }
+  this->shared.metrics.Add(Counter::kRefusals);
+  if (!problem.retry_after) {
+    problem.retry_after = kRetryAfterLoss;
+  }
+  if (!completion.head_sent) {
+    ReplyProblem(this->shared.actions, completion.id, problem);
+  } else {
+    this->SendEvent(completion, {"", "error", ToProblemJson(problem)});
+    this->shared.actions.emplace_back(ReplyEnd{completion.id, false});
+  }
+  this->Close(completion, Describe(problem.code).name);
+}
+
+bool CompletionFlow::MayAnswer(Completion& completion) {
+  const FinishResult result = this->shared.requests.Finish(completion.id);
+  if (result == FinishResult::kSend) {
+    return true;
+  }
+  this->shared.metrics.Add(Counter::kAnswersSuppressed);
+  this->Close(completion, ToText(result));
+  return false;
+}
+
+void CompletionFlow::Close(Completion& completion, std::string_view result) {
+  this->SetWakeup(completion, kNever);
+  const StreamCounts& counts = completion.stream.Counts();
+  this->shared.metrics.Add(
+      Counter::kFramesDropped,
+      counts.duplicates + counts.gaps + counts.stale + counts.late);
+  this->shared.metrics.Add(Counter::kStreamsResumed, counts.resumes);
+  this->shared.metrics.Record(Timing::kRequest,
+                              this->shared.now - completion.arrived);
+  this->shared.FinishSpan(completion.trace, "entry.completion",
+                          completion.arrived,
+                          {{"organisation", completion.organisation.value},
+                           {"model", completion.body.model},
+                           {"route", completion.route.name},
+                           {"tokens", std::to_string(completion.tokens)},
+                           {"result", std::string(result)}});
+  this->completions.erase(completion.id);
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/entry/detail/cluster_flow.h
@@ -0,0 +1,94 @@
+/// @file
+/// @brief What a host shares with the platform and the other hosts:
+/// configuration, membership and
+///        the states of upstreams.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "configuration/configuration.h"
+#include "entry/detail/host_context.h"
+#include "membership/membership.h"
+#include "peers/peers.h"
+#include "platform/platform.h"
+
+namespace limpetlink {
+
+/// @brief Keeps document and membership current and tells the dispatcher what
+/// follows.
+class ClusterFlow {
+ public:
+  /// @param shared the host's state; outlives the flow
+  explicit ClusterFlow(HostContext& shared);
+
+  /// @brief Begins: reads the document, joins the other hosts.
+  void Start();
+
+  /// @brief Announces that this host leaves.
+  void Leave();
+
+  // ---- Events of the adapters ----
+  void OnPeerFrame(const PeerFrame& frame);
+  void OnHead(const HttpHead& head);
+  void OnChunk(const HttpChunk& chunk);
+  void OnDone(const HttpDone& done);
+
+  /// @brief Sends a dispatcher's message to a peer.
+  void SendDispatch(const DispatchSend& send);
+
+  /// @brief Notes a sign of an upstream's state seen by this host and spreads
+  /// it.
+  void NoteUpstream(const UpstreamId& upstream, WorkerState state);
+
+  /// @brief Lets time pass and carries on what the slices ordered.
+  void Tick();
+
+  /// @brief Carries on what the slices ordered; called after each step.
+  void Flush();
+
+  /// @return when Tick is due at the latest
+  Instant NextWakeup() const;
+
+  /// @return whether this host has the newest document as far as it can know
+  bool Ready() const;
+
+  /// @return the platform client, for the slices that keep objects there
+  PlatformClient& Platform() { return this->platform; }
+
+  /// @return the document's state on this host
+  const ConfigurationStore& Configuration() const {
+    return this->configuration;
+  }
+
+  /// @return the view of the entry hosts
+  const Membership& Members() const { return this->membership; }
+
+  /// @brief Set by the host: takes results of platform operations that are of
+  /// neither slice here.
+  std::function<void(const PlatformResult&)> on_platform_result;
+
+  /// @brief Set by the host: told when the document or the live hosts changed.
+  std::function<void()> on_change;
+
+ private:
+  void Carry(const MembershipAction& action);
+  void Carry(const ConfigurationAction& action);
+  void OnLiveHosts(const LiveHostsChanged& change);
+  void OnHostList(const HostListRead& list);
+  void OnBroadcast(const Broadcast& item);
+  void Adopt(const ConfigurationAdopted& adopted);
+  void SendToPeer(const HostId& to, PeerKind kind, std::string payload);
+  void SetState(const UpstreamId& upstream, WorkerState state);
+
+  HostContext& shared;
+  PlatformClient platform;
+  ConfigurationStore configuration;
+  Membership membership;
+  PeerGate gate;
+  std::map<UpstreamId, WorkerState> states;  ///< other than live
+  std::map<UpstreamId, std::uint64_t> state_versions;
+};
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/entry/detail/worker_reports.h
@@ -0,0 +1,66 @@
+/// @file
+/// @brief Reads the load reports of the workers that this host owns.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "entry/detail/host_context.h"
+
+namespace limpetlink {
+
+/// @brief Asks each owned worker for its load, each at an interval that keeps
+/// the sum of bytes a
+///        second within bounds, and hands reports to the dispatcher.
+class WorkerReports {
+ public:
+  /// @brief Tells a sign of a worker's state.
+  using StateHook = std::function<void(const UpstreamId&, WorkerState)>;
+
+  /// @param shared the host's state; outlives this
+  /// @param on_state takes the worker's own drain report
+  WorkerReports(HostContext& shared, StateHook on_state);
+
+  /// @brief Asks the dispatcher anew which workers this host owns: the document
+  /// or the live hosts
+  ///        changed.
+  void Refresh();
+
+  // ---- Events of the adapters ----
+  void OnHead(const UpstreamId& worker, const HttpHead& head);
+  void OnChunk(const UpstreamId& worker, const HttpChunk& chunk);
+  void OnDone(const UpstreamId& worker, const HttpDone& done);
+
+  /// @brief Asks the workers that are due.
+  void Tick();
+
+  /// @return when Tick is due at the latest
+  Instant NextWakeup() const;
+
+ private:
+  struct Poll {
+    std::string url;
+    CallId call;  ///< 0: none is open
+    int status = 0;
+    std::string answer;
+    Instant due;
+  };
+
+  Duration Interval() const;
+  void Read(const UpstreamId& worker, const Poll& poll);
+
+  HostContext& shared;
+  StateHook on_state;
+  std::map<UpstreamId, Poll> polls;
+};
+
+/// @brief Reads a worker's load report.
+/// @param worker whose report it is
+/// @param text JSON as of GET /v1/load
+/// @return the report, or upstream.104
+absl::StatusOr<WorkerReport> ParseWorkerReport(const UpstreamId& worker,
+                                               std::string_view text);
+
+}  // namespace limpetlink
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -1,25 +1,307 @@
+#include <algorithm>
+#include <utility>
+
+#include "entry/detail/cluster_flow.h"
+#include "entry/detail/completion_flow.h"
+#include "entry/detail/host_context.h"
+#include "entry/detail/operator_pages.h"
+#include "entry/detail/reply.h"
+#include "entry/detail/service_flow.h"
+#include "entry/detail/worker_reports.h"
 #include "entry/entry.h"
 
 namespace limpetlink {
 
+/// @brief Routes events and decisions between the flows.
 class EntryHost::Impl {
  public:
-  explicit Impl(EntryHostSettings settings) : settings(std::move(settings)) {}
-  EntryHostSettings settings;
-  bool draining = false;
+  explicit Impl(EntryHostSettings settings)
+      : shared(std::move(settings)),
+        cluster(shared),
+        completions(shared),
+        services(shared, cluster.Platform()),
+        reports(shared,
+                [this](const UpstreamId& upstream, WorkerState state) {
+                  this->cluster.NoteUpstream(upstream, state);
+                }),
+        pages(shared, cluster) {
+    this->cluster.on_platform_result = [this](const PlatformResult& result) {
+      this->services.OnPlatform(result);
+    };
+    this->cluster.on_change = [this] { this->reports.Refresh(); };
+  }
+
+  Actions Start(Instant now) {
+    this->shared.now = now;
+    this->cluster.Start();
+    return this->Settle();
+  }
+
+  Actions Step(Instant now, const Event& event) {
+    this->shared.now = now;
+    std::visit([this](const auto& content) { this->On(content); }, event);
+    return this->Settle();
+  }
+
+  Actions Tick(Instant now) {
+    this->shared.now = now;
+    for (const RequestId id : this->shared.requests.Expire(now)) {
+      if (this->completions.Owns(id)) {
+        this->completions.OnDeadline(id);
+      } else if (this->services.Owns(id)) {
+        this->services.OnDeadline(id);
+      }
+    }
+    for (const WaitNotice& notice : this->shared.requests.DueNotices(now)) {
+      if (this->completions.Owns(notice.id)) {
+        this->completions.OnNoticeDue(notice);
+      }
+    }
+    if (this->shared.dispatcher.NextWakeup() <= now) {
+      this->shared.Dispatch(DispatchTick{});
+    }
+    this->completions.Tick();
+    this->services.Tick();
+    this->cluster.Tick();
+    this->reports.Tick();
+    return this->Settle();
+  }
+
+  Actions Drain(Instant now) {
+    this->shared.now = now;
+    if (!this->shared.draining) {
+      this->shared.draining = true;
+      this->cluster.Leave();
+    }
+    return this->Settle();
+  }
+
+  Instant NextWakeup() const {
+    return std::min({this->shared.requests.NextWakeup(),
+                     this->shared.dispatcher.NextWakeup(),
+                     this->completions.NextWakeup(),
+                     this->services.NextWakeup(), this->cluster.NextWakeup(),
+                     this->reports.NextWakeup()});
+  }
+
+  bool Drained() const {
+    return this->shared.draining && this->shared.requests.Size() == 0 &&
+           this->services.Idle();
+  }
+
+ private:
+  // ---- Callers ----
+
+  void On(const CallerRequest& request) {
+    this->shared.metrics.Add(Counter::kRequests);
+    if (this->pages.Receive(request)) {
+      return;
+    }
+    const std::optional<Problem> refusal = this->RefuseEarly(request);
+    if (refusal) {
+      this->shared.metrics.Add(Counter::kRefusals);
+      ReplyProblem(this->shared.actions, request.id, *refusal);
+      return;
+    }
+    if (request.path == "/v1/completions") {
+      this->completions.Receive(request, CompletionKind::kText);
+    } else if (request.path == "/v1/chat/completions") {
+      this->completions.Receive(request, CompletionKind::kChat);
+    } else {
+      this->services.Receive(request);
+    }
+  }
+
+  /// Reasons that hold before anybody looks into the request.
+  std::optional<Problem> RefuseEarly(const CallerRequest& request) const {
+    const bool completion = request.path == "/v1/completions" ||
+                            request.path == "/v1/chat/completions";
+    if (!completion && !ServiceFlow::IsServicePath(request.path)) {
+      return Problem{
+          ErrorCode::kRequestUnknownRoute, Outcome::kNotRun, request.path, {}};
+    }
+    if (completion && request.method != "POST") {
+      return Problem{ErrorCode::kRequestMethodNotAllowed,
+                     Outcome::kNotRun,
+                     "use POST",
+                     {}};
+    }
+    if (request.body_too_large) {
+      return Problem{ErrorCode::kRequestTooLarge,
+                     Outcome::kNotRun,
+                     "send a smaller body",
+                     {}};
+    }
+    const Outcome outcome = completion
+                                ? Outcome::kNotRun
+                                : ServiceFlow::RefusalOutcome(request.headers);
+    if (this->shared.draining) {
+      return Problem{ErrorCode::kHostShuttingDown, outcome, "ask another host",
+                     std::chrono::seconds(1)};
+    }
+    if (!this->cluster.Ready()) {
+      return Problem{ErrorCode::kFleetNotReady, outcome,
+                     "this host has no newest document yet",
+                     std::chrono::seconds(1)};
+    }
+    return std::nullopt;
+  }
+
+  void On(const CallerGone& gone) {
+    if (this->completions.Owns(gone.id)) {
+      this->completions.OnCallerGone(gone.id);
+    } else if (this->services.Owns(gone.id)) {
+      this->services.OnCallerGone(gone.id);
+    }
+  }
+
+  void On(const CallerDrained& drained) {
+    if (this->completions.Owns(drained.id)) {
+      this->completions.OnCallerDrained(drained);
+    }
+  }
+
+  // ---- HTTP calls ----
+
+  void On(const HttpHead& head) {
+    const CallOwner* owner = this->shared.calls.Find(head.id);
+    if (owner == nullptr) {
+      return;
+    }
+    switch (owner->purpose) {
+      case CallPurpose::kGeneration:
+        this->completions.OnHead(owner->request, head);
+        break;
+      case CallPurpose::kService:
+        this->services.OnHead(owner->request, head);
+        break;
+      case CallPurpose::kPlatform:
+        this->cluster.OnHead(head);
+        break;
+      case CallPurpose::kWorkerReport:
+        this->reports.OnHead(owner->worker, head);
+        break;
+      case CallPurpose::kDetached:
+        break;
+    }
+  }
+
+  void On(const HttpChunk& chunk) {
+    const CallOwner* owner = this->shared.calls.Find(chunk.id);
+    if (owner == nullptr) {
+      return;
+    }
+    switch (owner->purpose) {
+      case CallPurpose::kGeneration:
+        this->completions.OnChunk(owner->request, chunk);
+        break;
+      case CallPurpose::kService:
+        this->services.OnChunk(owner->request, chunk);
+        break;
+      case CallPurpose::kPlatform:
+        this->cluster.OnChunk(chunk);
+        break;
+      case CallPurpose::kWorkerReport:
+        this->reports.OnChunk(owner->worker, chunk);
+        break;
+      case CallPurpose::kDetached:
+        break;
+    }
+  }
+
+  void On(const HttpDone& done) {
+    const CallOwner* found = this->shared.calls.Find(done.id);
+    if (found == nullptr) {
+      return;
+    }
+    const CallOwner owner = *found;
+    switch (owner.purpose) {
+      case CallPurpose::kGeneration:
+        this->completions.OnDone(owner.request, done);
+        break;
+      case CallPurpose::kService:
+        this->services.OnDone(owner.request, done);
+        break;
+      case CallPurpose::kPlatform:
+        this->cluster.OnDone(done);
+        break;
+      case CallPurpose::kWorkerReport:
+        this->reports.OnDone(owner.worker, done);
+        break;
+      case CallPurpose::kDetached:
+        this->shared.calls.Close(done.id);
+        break;
+    }
+  }
+
+  void On(const PeerFrame& frame) { this->cluster.OnPeerFrame(frame); }
+
+  void On(const WallClockRead& clock) { this->services.OnWallClock(clock); }
+
+  // ---- Decisions ----
+
+  Actions Settle() {
+    this->cluster.Flush();
+    while (!this->shared.decisions.empty()) {
+      const DispatchAction decision = std::move(this->shared.decisions.front());
+      this->shared.decisions.pop_front();
+      std::visit([this](const auto& content) { this->Decide(content); },
+                 decision);
+      this->cluster.Flush();
+    }
+    return std::exchange(this->shared.actions, {});
+  }
+
+  void Decide(const Place& place) {
+    if (this->completions.Owns(place.request)) {
+      this->completions.OnPlace(place);
+    } else if (this->services.Owns(place.request)) {
+      this->services.OnPlace(place);
+    }
+  }
+
+  void Decide(const Refuse& refuse) {
+    if (this->completions.Owns(refuse.request)) {
+      this->completions.OnRefuse(refuse);
+    } else if (this->services.Owns(refuse.request)) {
+      this->services.OnRefuse(refuse);
+    }
+  }
+
+  void Decide(const Waiting& waiting) {
+    if (this->completions.Owns(waiting.request)) {
+      this->completions.OnWaiting(waiting);
+    } else if (this->services.Owns(waiting.request)) {
+      this->services.OnWaiting(waiting);
+    }
+  }
+
+  void Decide(const SetPriority& priority) {
+    if (this->completions.Owns(priority.request)) {
+      this->completions.OnSetPriority(priority);
+    }
+  }
+
+  void Decide(const DispatchSend& send) { this->cluster.SendDispatch(send); }
+
+  HostContext shared;
+  ClusterFlow cluster;
+  CompletionFlow completions;
+  ServiceFlow services;
+  WorkerReports reports;
+  OperatorPages pages;
 };
 
 EntryHost::EntryHost(EntryHostSettings settings)
     : impl(std::make_unique<Impl>(std::move(settings))) {}
 EntryHost::~EntryHost() = default;
-Actions EntryHost::Start(Instant /*now*/) { return {}; }
-Actions EntryHost::Step(Instant /*now*/, const Event& /*event*/) { return {}; }
-Actions EntryHost::Tick(Instant /*now*/) { return {}; }
-Actions EntryHost::Drain(Instant /*now*/) {
-  this->impl->draining = true;
-  return {};
+Actions EntryHost::Start(Instant now) { return this->impl->Start(now); }
+Actions EntryHost::Step(Instant now, const Event& event) {
+  return this->impl->Step(now, event);
 }
-Instant EntryHost::NextWakeup() const { return kNever; }
-bool EntryHost::Drained() const { return this->impl->draining; }
+Actions EntryHost::Tick(Instant now) { return this->impl->Tick(now); }
+Actions EntryHost::Drain(Instant now) { return this->impl->Drain(now); }
+Instant EntryHost::NextWakeup() const { return this->impl->NextWakeup(); }
+bool EntryHost::Drained() const { return this->impl->Drained(); }
 
 }  // namespace limpetlink
--- a/src/idempotency/detail/log_shard.h
+++ b/src/idempotency/detail/log_shard.h
@@ -131,6 +131,7 @@
                      const KeyEntry& entry);
   void DecideAgainstLive(LogContext& context, ClaimEntry& claim,
                          const ClaimEntry& live);
+  const KeptOutcome* OutcomeOnItsWay(const ClaimId& id) const;
   bool Expired(const LogContext& context, const KeyEntry& entry) const;
   void Grant(LogContext& context, ClaimEntry& claim);
   void Close(LogContext& context, ClaimEntry& claim);
--- a/src/idempotency/log_shard.cc
+++ b/src/idempotency/log_shard.cc
@@ -154,10 +154,35 @@
                  Outcome::kNotRun, "another request with this key is running");
     return;
   }
+  const KeptOutcome* outcome =
+      durable ? this->OutcomeOnItsWay(live.id) : nullptr;
+  if (outcome != nullptr) {
+    ++this->counts.replayed;
+    context.out.push_back(ReplayOutcome{claim.request, *outcome});
+    this->Remove(claim.request);
+    return;
+  }
   this->Answer(context, claim, ErrorCode::kIdempotencyInProgress,
                Outcome::kUnknown, "a request with this key is in progress");
 }
 
+const KeptOutcome* LogShard::OutcomeOnItsWay(const ClaimId& id) const {
+  const auto find_in = [&id](const auto& queued) -> const KeptOutcome* {
+    for (const QueuedRecord& record : queued) {
+      const auto* kept = std::get_if<OutcomeRecord>(&record.record);
+      if (kept != nullptr && kept->claim == id) {
+        return &kept->outcome;
+      }
+    }
+    return nullptr;
+  };
+  const KeptOutcome* outcome = find_in(this->records);
+  if (outcome == nullptr && this->write) {
+    outcome = find_in(this->write->records);
+  }
+  return outcome;
+}
+
 LogShard::Need LogShard::DecideByEntry(LogContext& context, ClaimEntry& claim,
                                        const KeyEntry& entry) {
   const bool pending = entry.state == KeyState::kPending;
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -5,6 +5,7 @@
 ///        of its own.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -175,6 +176,15 @@
   std::string bytes;
 };
 
+// ---- Time of day ----
+
+/// @brief The host's wall clock, told at the start and every minute; used for
+/// the expiry of kept
+///        outcomes only.
+struct WallClockRead {
+  std::int64_t unix_milliseconds = 0;
+};
+
 // ---- Telemetry ----
 
 /// @brief Severity of a log line.
@@ -215,7 +225,7 @@
 
 /// @brief What may happen to the core.
 using Event = std::variant<CallerRequest, CallerGone, CallerDrained, HttpHead,
-                           HttpChunk, HttpDone, PeerFrame>;
+                           HttpChunk, HttpDone, PeerFrame, WallClockRead>;
 
 /// @brief What the core may order.
 using Action =
--- /dev/null
+++ b/tests/core/service_fake.cc
@@ -0,0 +1,61 @@
+#include "tests/core/service_fake.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace limpetlink::testing {
+namespace {
+
+constexpr Duration kRunTime = std::chrono::milliseconds(20);
+constexpr Duration kAnswerTime = std::chrono::milliseconds(5);
+
+}  // namespace
+
+ServiceFake::ServiceFake(Network& network, Timeline& timeline, std::string name,
+                         std::vector<Execution>& executions)
+    : network(network),
+      timeline(timeline),
+      name(std::move(name)),
+      executions(executions) {
+  network.AddServer(this->name, {[this](ExchangeId id, const HttpCall& call) {
+                                   this->OnRequest(id, call);
+                                 },
+                                 nullptr});
+}
+
+void ServiceFake::Kill() {
+  ++this->life;
+  this->network.SetLink(this->name, LinkState::kRefused);
+}
+
+void ServiceFake::OnRequest(ExchangeId id, const HttpCall& call) {
+  const std::string path = PathOf(call.url);
+  if (path == "/v1/load") {
+    const nlohmann::json report = {{"running", this->running},
+                                   {"waiting", 0},
+                                   {"draining", this->draining}};
+    this->network.Answer(id, 200, {}, report.dump());
+    return;
+  }
+  if (this->draining) {
+    this->network.Answer(id, 503, {}, R"({"outcome":"not_run"})");
+    return;
+  }
+  ++this->running;
+  this->timeline.After(kRunTime, [this, id, call, path, started = this->life] {
+    if (started != this->life) {
+      return;
+    }
+    this->executions.push_back({this->name, call.method, path, call.body});
+    this->network.Step("executed", this->name);
+    this->timeline.After(kAnswerTime, [this, id, body = call.body, started] {
+      if (started == this->life) {
+        --this->running;
+        this->network.Answer(id, 200, {{"Content-Type", "text/plain"}},
+                             "ran " + body);
+      }
+    });
+  });
+}
+
+}  // namespace limpetlink::testing
