--- /dev/null
+++ b/tests/scenario/caller.h
@@ -0,0 +1,82 @@
+/// @file
+/// @brief A caller of a scenario: one request whose answer is read in the
+/// background.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "ports/ports.h"
+#include "streams/streams.h"
+
+namespace limpetlink::scenario {
+
+/// @brief What a caller sends.
+struct CallerCall {
+  std::string method;
+  std::string url;
+  Headers headers;
+  std::string body;
+  std::vector<std::string> tokens;  ///< delivered already, of a stream that
+                                    ///< this call takes up
+};
+
+/// @brief What a caller has got so far.
+struct CallerView {
+  bool ended = false;
+  bool connected = false;
+  int status = 0;
+  bool done = false;         ///< a stream's "[DONE]" arrived
+  std::string last_event_id;
+  std::vector<std::string> tokens;  ///< of the generation in force
+  std::uint32_t restarts = 0;
+  nlohmann::json problem;  ///< of a refusal or an ended stream; else null
+  std::string body;        ///< of an answer that is no stream
+};
+
+/// @brief Sends a request on a thread of its own and keeps what arrives.
+class Caller {
+ public:
+  /// @brief Sends the request at once.
+  explicit Caller(CallerCall call);
+  /// @brief Hangs up and waits for the thread.
+  ~Caller();
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
+
+  /// @return what has arrived until now
+  CallerView View() const;
+
+  /// @brief Hangs up.
+  void HangUp() { this->hung_up = true; }
+
+  /// @brief Takes bytes of the answer; called by the HTTP library.
+  /// @return whether to go on reading
+  bool OnBody(std::string_view bytes, int status);
+
+  /// @return whether the caller hung up
+  bool HungUp() const { return this->hung_up; }
+
+ private:
+  void Run(const CallerCall& call);
+  void OnEvent(const SseEvent& event);
+  void Finish(int status, bool connected);
+
+  mutable std::mutex mutex;
+  CallerView view;
+  SseDecoder decoder;
+  std::atomic<bool> hung_up{false};
+  std::thread thread;
+};
+
+/// @brief Renders a view as an observation of the scenario language.
+/// @return ended, status, answer ("whole", "incomplete", "refused", "cut",
+/// "none"), tokens, in_order, restarts, code, outcome, retry_after
+nlohmann::json Observe(const CallerView& view);
+
+}  // namespace limpetlink::scenario
