--- a/src/fleet/check.cc
+++ b/src/fleet/check.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "fleet/detail/aggregates.h"
 #include "fleet/detail/reader.h"
+#include "fleet/detail/rules.h"
 
 namespace limpetlink {
 namespace {
@@ -127,9 +128,7 @@
 
 bool Covers(const ServiceRule& earlier, const ServiceRule& later) {
   const bool method = earlier.method == "*" || earlier.method == later.method;
-  const bool path = later.path_prefix.compare(0, earlier.path_prefix.size(),
-                                              earlier.path_prefix) == 0;
-  return method && path;
+  return method && PrefixCovers(earlier.path_prefix, later.path_prefix);
 }
 
 void CheckRules(const std::vector<ServiceRule>& rules,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -6,3 +6,4 @@
 #include "fleet/detail/diff.h"
 #include "fleet/detail/document.h"
 #include "fleet/detail/parse.h"
+#include "fleet/detail/rules.h"
--- a/src/fleet/tests/parse_test.cc
+++ b/src/fleet/tests/parse_test.cc
@@ -132,6 +132,14 @@
     this->At("/services/0/rules/0/method") = "*";
     CHECK(this->Pointers() == PointerList{"/services/0/rules/1"});
   }
+  SECTION("rule whose prefix is part of a segment only") {
+    this->At("/services/0/rules/0") = {
+        {"method", "*"}, {"path_prefix", "/rec"}, {"idempotent", true}};
+    this->At("/services/0/rules/1/path_prefix") = "/recipes";
+    CHECK(this->Pointers().empty());
+    this->At("/services/0/rules/1/path_prefix") = "/rec/7";
+    CHECK(this->Pointers() == PointerList{"/services/0/rules/1"});
+  }
   SECTION("default deadline over the greatest") {
     this->At("/routes/0/default_deadline_s") = 4000;
     CHECK(this->Pointers() == PointerList{"/routes/0/default_deadline_s"});
