Carry HTTP in both directions and run the core in one thread

Cause: the core does no I/O; callers and upstreams speak HTTP. Ruled out: thread per connection (hundreds of open streams a host); polling suspended connections for callers that left (an epoll set beside the library tells at once); the library's own retry on a reused connection (a second send is refused in the pre-request hook and counted); reused connections for anything but reads (an idle close would leave the outcome unknown). Change: HttpServer over libmicrohttpd with suspended connections and bounded replies, HttpClient over one libcurl multi handle, CoreLoop.

--- a/cmake/limpetlink.cmake
+++ b/cmake/limpetlink.cmake
@@ -12,6 +12,13 @@
   include(Catch)
 endif()
 
+find_path(MICROHTTPD_INCLUDE_DIR microhttpd.h REQUIRED)
+find_library(MICROHTTPD_LIBRARY microhttpd REQUIRED)
+add_library(limpetlink_microhttpd INTERFACE)
+add_library(limpetlink::microhttpd ALIAS limpetlink_microhttpd)
+target_include_directories(limpetlink_microhttpd SYSTEM INTERFACE ${MICROHTTPD_INCLUDE_DIR})
+target_link_libraries(limpetlink_microhttpd INTERFACE ${MICROHTTPD_LIBRARY})
+
 add_library(limpetlink_options INTERFACE)
 add_library(limpetlink::options ALIAS limpetlink_options)
 target_compile_options(limpetlink_options INTERFACE
--- /dev/null
+++ b/src/adapters/core_loop.cc
@@ -0,0 +1,119 @@
+#include <algorithm>
+#include <utility>
+
+#include "adapters/adapters.h"
+
+namespace limpetlink {
+namespace {
+
+// How often an ended core is asked whether its last replies have left.
+constexpr std::chrono::milliseconds kIdleCheck{5};
+constexpr std::chrono::seconds kLongestWait{3600};
+
+std::chrono::steady_clock::time_point ToSteady(Instant when) {
+  const Instant limit = SteadyNow() + kLongestWait;
+  return std::chrono::steady_clock::time_point(
+      std::min(when, limit).time_since_epoch());
+}
+
+}  // namespace
+
+Instant SteadyNow() {
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  return Instant(std::chrono::duration_cast<Duration>(since));
+}
+
+CoreLoop::CoreLoop(CoreHooks hooks) : core(std::move(hooks)) {}
+
+void CoreLoop::Post(Event event) {
+  std::unique_lock<std::mutex> lock(this->mutex);
+  this->room.wait(lock, [this] {
+    return this->queue.size() < kMaxQueuedEvents || this->stop_requested;
+  });
+  const bool was_empty = this->queue.empty();
+  this->queue.push_back(std::move(event));
+  if (was_empty) {
+    this->work.notify_one();
+  }
+}
+
+EventSink CoreLoop::Sink() {
+  return [this](Event event) { this->Post(std::move(event)); };
+}
+
+void CoreLoop::RequestDrain() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->drain_requested = true;
+  this->work.notify_one();
+}
+
+void CoreLoop::RequestStop() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->stop_requested = true;
+  this->work.notify_one();
+  this->room.notify_all();
+}
+
+// Returns whether a drain was newly asked for.
+bool CoreLoop::WaitForWork(std::deque<Event>* batch, bool draining) {
+  auto deadline = ToSteady(this->core.next_wakeup());
+  if (draining && this->core.drained()) {
+    deadline =
+        std::min(deadline, std::chrono::steady_clock::now() + kIdleCheck);
+  }
+  std::unique_lock<std::mutex> lock(this->mutex);
+  this->work.wait_until(lock, deadline, [this, draining] {
+    return !this->queue.empty() || this->stop_requested ||
+           (this->drain_requested && !draining);
+  });
+  batch->swap(this->queue);
+  this->counts.events += batch->size();
+  this->counts.batches += 1;
+  this->counts.longest_queue =
+      std::max(this->counts.longest_queue, std::uint64_t{batch->size()});
+  if (batch->size() >= kMaxQueuedEvents) {
+    this->room.notify_all();
+  }
+  return this->drain_requested && !draining;
+}
+
+void CoreLoop::Carry(Actions actions, const ActionHooks& hooks) {
+  for (Action& action : actions) {
+    hooks.carry(std::move(action));
+  }
+}
+
+void CoreLoop::Run(const ActionHooks& actions) {
+  this->Carry(this->core.start(SteadyNow()), actions);
+  actions.flush();
+  bool draining = false;
+  while (true) {
+    std::deque<Event> batch;
+    const bool drain_now = this->WaitForWork(&batch, draining);
+    const Instant begun = SteadyNow();
+    for (const Event& event : batch) {
+      this->Carry(this->core.step(SteadyNow(), event), actions);
+    }
+    if (drain_now) {
+      draining = true;
+      this->Carry(this->core.drain(SteadyNow()), actions);
+    }
+    if (this->core.next_wakeup() <= SteadyNow()) {
+      this->Carry(this->core.tick(SteadyNow()), actions);
+    }
+    actions.flush();
+    const bool ended = draining && this->core.drained() && actions.idle();
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->counts.busy += SteadyNow() - begun;
+    if (this->stop_requested || (ended && this->queue.empty())) {
+      return;
+    }
+  }
+}
+
+CoreLoopCounts CoreLoop::Counts() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->counts;
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/adapters/tests/core_loop_test.cc
@@ -0,0 +1,150 @@
+#include "adapters/tests/support.h"
+
+namespace limpetlink::testing {
+namespace {
+
+/// Answers each request with its own body; drains once no request is open.
+class EchoCore {
+ public:
+  Actions Start(Instant /*now*/) { return {}; }
+
+  Actions Step(Instant /*now*/, const Event& event) {
+    const auto* const request = std::get_if<CallerRequest>(&event);
+    if (request == nullptr) {
+      return {};
+    }
+    if (request->path == "/hold" && this->draining) {
+      return Answer(request->id, "released");
+    }
+    if (request->path == "/hold") {
+      this->held.push_back(request->id);
+      return {};
+    }
+    return Answer(request->id, request->body);
+  }
+
+  Actions Tick(Instant now) {
+    this->wakeup = now + std::chrono::milliseconds(1);
+    ++this->ticks;
+    return {};
+  }
+
+  Actions Drain(Instant /*now*/) {
+    this->draining = true;
+    Actions all;
+    for (const RequestId id : this->held) {
+      for (Action& action : Answer(id, "released")) {
+        all.push_back(std::move(action));
+      }
+    }
+    return all;
+  }
+
+  Instant NextWakeup() const { return this->wakeup; }
+  bool Drained() const { return this->draining; }
+
+  std::uint64_t ticks = 0;
+
+ private:
+  static Actions Answer(RequestId id, const std::string& body) {
+    return {ReplyHead{id, 200, {}}, ReplyBody{id, body}, ReplyEnd{id, false}};
+  }
+
+  std::vector<RequestId> held;
+  Instant wakeup{};
+  bool draining = false;
+};
+
+class LoopFixture {
+ public:
+  LoopFixture() {
+    REQUIRE(this->server.Start().ok());
+    this->client.Start();
+    this->thread = std::thread([this] { this->loop.Run(this->Hooks()); });
+  }
+  ~LoopFixture() {
+    this->loop.RequestStop();
+    this->Join();
+  }
+
+  void Join() {
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
+  }
+
+  ActionHooks Hooks() {
+    ActionHooks hooks;
+    hooks.carry = [this](Action action) {
+      if (const auto* const head = std::get_if<ReplyHead>(&action)) {
+        this->server.Take(*head);
+      } else if (auto* const body = std::get_if<ReplyBody>(&action)) {
+        this->server.Take(std::move(*body));
+      } else if (const auto* const end = std::get_if<ReplyEnd>(&action)) {
+        this->server.Take(*end);
+      }
+    };
+    hooks.flush = [this] { this->server.Flush(); };
+    hooks.idle = [this] { return this->server.Counts().open == 0; };
+    return hooks;
+  }
+
+  void Call(std::uint64_t id, const std::string& path,
+            const std::string& body) {
+    HttpCall call;
+    call.id = CallId{id};
+    call.method = "POST";
+    call.url = "http://127.0.0.1:" + std::to_string(this->server.Port()) + path;
+    call.body = body;
+    this->client.Take(call);
+    this->client.Flush();
+  }
+
+  EchoCore core;
+  CoreLoop loop{HooksOf(&this->core)};
+  HttpServerSettings settings{"127.0.0.1:0"};
+  HttpServer server{this->settings, this->loop.Sink()};
+  Recorder answers;
+  HttpClient client{HttpClientSettings{}, this->answers.Sink()};
+  std::thread thread;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(
+    LoopFixture,
+    "core loop, many crossing requests, each gets its own answer") {
+  constexpr std::uint64_t kCalls = 200;
+  for (std::uint64_t id = 1; id <= kCalls; ++id) {
+    this->Call(id, "/echo", "body " + std::to_string(id));
+  }
+  this->answers.Next<HttpDone>(kCalls - 1);
+  for (std::uint64_t id = 1; id <= kCalls; ++id) {
+    CHECK(this->answers.BodyOf(CallId{id}) == "body " + std::to_string(id));
+  }
+}
+
+TEST_CASE_METHOD(
+    LoopFixture,
+    "core loop, a drain with an open request, it ends after the reply") {
+  this->Call(1, "/hold", "");
+  while (this->server.Counts().requests == 0) {
+    std::this_thread::yield();
+  }
+  this->loop.RequestDrain();
+  this->Join();
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kComplete);
+  CHECK(this->answers.BodyOf(CallId{1}) == "released");
+}
+
+TEST_CASE_METHOD(
+    LoopFixture,
+    "core loop, a wakeup is due, the core is ticked without events") {
+  this->Call(1, "/echo", "");
+  this->answers.Next<HttpDone>();
+  this->loop.RequestDrain();
+  this->Join();
+  CHECK(this->core.ticks > 0);
+}
+
+}  // namespace limpetlink::testing
--- /dev/null
+++ b/src/adapters/tests/http_test.cc
@@ -0,0 +1,295 @@
+#include "adapters/tests/support.h"
+
+namespace limpetlink::testing {
+namespace {
+
+class ServerFixture {
+ public:
+  ServerFixture() {
+    HttpServerSettings settings;
+    settings.listen = "127.0.0.1:0";
+    settings.max_body_bytes = 1000;
+    settings.max_buffered_bytes = 4U << 20U;
+    this->server = std::make_unique<HttpServer>(settings, this->events.Sink());
+    REQUIRE(this->server->Start().ok());
+  }
+
+  std::string Url(const std::string& path) const {
+    return "http://127.0.0.1:" + std::to_string(this->server->Port()) + path;
+  }
+
+  void Answer(RequestId id, const std::string& body) {
+    this->server->Take(ReplyHead{id, 200, {{"X-Test", "yes"}}});
+    this->server->Take(ReplyBody{id, body});
+    this->server->Take(ReplyEnd{id});
+    this->server->Flush();
+  }
+
+  Recorder events;
+  std::unique_ptr<HttpServer> server;
+};
+
+class ClientFixture : public ServerFixture {
+ public:
+  ClientFixture() { this->client.Start(); }
+
+  void Call(std::uint64_t id, const std::string& method, const std::string& url,
+            const std::string& body = "") {
+    HttpCall call;
+    call.id = CallId{id};
+    call.method = method;
+    call.url = url;
+    call.body = body;
+    this->client.Take(call);
+    this->client.Flush();
+  }
+
+  Recorder answers;
+  HttpClient client{HttpClientSettings{}, this->answers.Sink()};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(ClientFixture,
+                 "http, a post with a body, request and whole reply arrive") {
+  this->Call(1, "POST", this->Url("/v1/a%2Fb?x=%20y"), "hello");
+  const CallerRequest request = this->events.Next<CallerRequest>();
+  CHECK(request.method == "POST");
+  CHECK(request.path == "/v1/a%2Fb");
+  CHECK(request.query == "x=%20y");
+  CHECK(request.body == "hello");
+  CHECK_FALSE(request.body_too_large);
+  this->Answer(request.id, "world");
+  const HttpHead head = this->answers.Next<HttpHead>();
+  CHECK(head.status == 200);
+  REQUIRE(FindHeader(head.headers, "x-test") != nullptr);
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kComplete);
+  CHECK(this->answers.BodyOf(CallId{1}) == "world");
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "http, a body over the bound, it is dropped and said so") {
+  this->Call(1, "POST", this->Url("/"), std::string(100000, 'x'));
+  const CallerRequest request = this->events.Next<CallerRequest>();
+  CHECK(request.body_too_large);
+  CHECK(request.body.empty());
+  this->Answer(request.id, "no");
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kComplete);
+  CHECK(this->server->Counts().too_large == 1);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "http, a reply in many parts, it arrives whole and in order") {
+  this->Call(1, "GET", this->Url("/stream"));
+  const RequestId id = this->events.Next<CallerRequest>().id;
+  this->server->Take(
+      ReplyHead{id, 200, {{"Content-Type", "text/event-stream"}}});
+  this->server->Flush();
+  CHECK(this->answers.Next<HttpHead>().status == 200);
+  std::string wanted;
+  for (int part = 0; part < 500; ++part) {
+    const std::string bytes = "part " + std::to_string(part) + "\n";
+    wanted += bytes;
+    this->server->Take(ReplyBody{id, bytes});
+    if (part % 7 == 0) {
+      this->server->Flush();
+    }
+  }
+  this->server->Take(ReplyEnd{id});
+  this->server->Flush();
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kComplete);
+  CHECK(this->answers.BodyOf(CallId{1}) == wanted);
+}
+
+TEST_CASE_METHOD(
+    ClientFixture,
+    "http, an aborted reply, the caller sees that it is not whole") {
+  this->Call(1, "GET", this->Url("/"));
+  const RequestId id = this->events.Next<CallerRequest>().id;
+  this->server->Take(ReplyHead{id, 200, {}});
+  this->server->Take(ReplyBody{id, "begun"});
+  this->server->Take(ReplyEnd{id, true});
+  this->server->Flush();
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kCut);
+}
+
+TEST_CASE_METHOD(
+    ServerFixture,
+    "http, a caller leaves while it waits, the core is told once") {
+  const int caller = ConnectTo(this->server->Port());
+  SendAll(caller, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n");
+  const RequestId id = this->events.Next<CallerRequest>().id;
+  close(caller);
+  CHECK(this->events.Next<CallerGone>().id == id);
+  this->Answer(id, "late");
+  CHECK(this->server->Counts().gone == 1);
+}
+
+TEST_CASE_METHOD(ServerFixture,
+                 "http, a caller that reads, the core is told what is taken") {
+  const int caller = ConnectTo(this->server->Port());
+  SendAll(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const RequestId id = this->events.Next<CallerRequest>().id;
+  this->server->Take(ReplyHead{id, 200, {}});
+  this->server->Take(
+      ReplyBody{id, std::string(2 * HttpServer::kDrainStep, 'x')});
+  this->server->Flush();
+  CHECK(this->events.Next<CallerDrained>().id == id);
+  close(caller);
+}
+
+TEST_CASE_METHOD(
+    ServerFixture,
+    "http, a caller that does not read, its buffer stays bounded") {
+  const int caller = ConnectTo(this->server->Port());
+  SendAll(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const RequestId id = this->events.Next<CallerRequest>().id;
+  this->server->Take(ReplyHead{id, 200, {}});
+  for (int i = 0; i < 64 && this->server->Counts().overflowed == 0; ++i) {
+    this->server->Take(ReplyBody{id, std::string(1U << 20U, 'x')});
+    this->server->Flush();
+  }
+  CHECK(this->server->Counts().overflowed == 1);
+  CHECK(this->events.Next<CallerGone>().id == id);
+  close(caller);
+}
+
+TEST_CASE_METHOD(ServerFixture,
+                 "http, the server stops with waiting callers, it ends") {
+  const int caller = ConnectTo(this->server->Port());
+  SendAll(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->events.Next<CallerRequest>();
+  this->server->Stop();
+  CHECK(ReadUntil(caller, "HTTP").empty());
+  close(caller);
+}
+
+TEST_CASE_METHOD(ClientFixture, "a call, nobody listens, it is not connected") {
+  Listener listener;
+  const std::string url = listener.Url("/");
+  listener.Close();
+  this->Call(1, "POST", url, "order");
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kNotConnected);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "a call, the upstream closes after accepting, it is cut") {
+  const Listener listener;
+  this->Call(1, "POST", listener.Url("/"), "order");
+  const int upstream = listener.Accept();
+  ReadUntil(upstream, "order");
+  close(upstream);
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kCut);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "a call, the upstream accepts and closes unread, it is cut") {
+  const Listener listener;
+  this->Call(1, "POST", listener.Url("/"), "order");
+  close(listener.Accept());
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kCut);
+}
+
+TEST_CASE_METHOD(ClientFixture, "a call, the answer ends short, it is cut") {
+  const Listener listener;
+  this->Call(1, "GET", listener.Url("/"));
+  const int upstream = listener.Accept();
+  ReadUntil(upstream, "\r\n\r\n");
+  SendAll(upstream, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
+  close(upstream);
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kCut);
+  CHECK(this->answers.BodyOf(CallId{1}) == "short");
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "a call, a kept connection breaks, nothing is sent twice") {
+  const Listener listener;
+  this->Call(1, "GET", listener.Url("/first"));
+  const int upstream = listener.Accept();
+  ReadUntil(upstream, "\r\n\r\n");
+  SendAll(upstream, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(this->answers.Next<HttpDone>(0).end == HttpEnd::kComplete);
+  this->Call(2, "GET", listener.Url("/second"));
+  CHECK(ReadUntil(upstream, "\r\n\r\n").find("/second") != std::string::npos);
+  close(upstream);
+  CHECK(this->answers.Next<HttpDone>(1).end == HttpEnd::kCut);
+  CHECK(this->client.Counts().repeats_refused == 1);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "a call, not a read, a kept connection is not used for it") {
+  const Listener listener;
+  this->Call(1, "GET", listener.Url("/first"));
+  const int first = listener.Accept();
+  ReadUntil(first, "\r\n\r\n");
+  SendAll(first, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(this->answers.Next<HttpDone>(0).end == HttpEnd::kComplete);
+  this->Call(2, "POST", listener.Url("/second"), "order");
+  const int second = listener.Accept();
+  CHECK(ReadUntil(second, "order").find("/second") != std::string::npos);
+  SendAll(second, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(this->answers.Next<HttpDone>(1).end == HttpEnd::kComplete);
+  close(first);
+  close(second);
+}
+
+TEST_CASE_METHOD(
+    ClientFixture,
+    "a call, its time limit passes, the end says whether it was sent") {
+  const Listener listener;
+  HttpCall call;
+  call.id = CallId{1};
+  call.method = "GET";
+  call.url = listener.Url("/");
+  call.total_timeout = std::chrono::milliseconds(20);
+  this->client.Take(call);
+  this->client.Flush();
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kTimeout);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "a call, cancelled, the upstream sees the connection end") {
+  const Listener listener;
+  this->Call(1, "POST", listener.Url("/"), "order");
+  const int upstream = listener.Accept();
+  ReadUntil(upstream, "order");
+  this->client.Take(HttpCancel{CallId{1}});
+  this->client.Flush();
+  CHECK(ReadUntil(upstream, "never").empty());
+  CHECK(this->client.Counts().cancelled == 1);
+  close(upstream);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "a call, paused and gone on, the whole answer arrives") {
+  const Listener listener;
+  this->Call(1, "GET", listener.Url("/"));
+  const int upstream = listener.Accept();
+  ReadUntil(upstream, "\r\n\r\n");
+  SendAll(upstream, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+  this->answers.Next<HttpHead>();
+  this->client.Take(HttpPause{CallId{1}, true});
+  this->client.Flush();
+  SendAll(upstream, "12345678");
+  this->client.Take(HttpPause{CallId{1}, false});
+  this->client.Flush();
+  CHECK(this->answers.Next<HttpDone>().end == HttpEnd::kComplete);
+  CHECK(this->answers.BodyOf(CallId{1}) == "12345678");
+  close(upstream);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "a call, a header with a line break, the header is left out") {
+  HttpCall call;
+  call.id = CallId{1};
+  call.method = "GET";
+  call.url = this->Url("/");
+  call.headers = {{"X-Bad", "a\r\nX-Smuggled: b"}, {"X-Good", "c"}};
+  this->client.Take(call);
+  this->client.Flush();
+  const CallerRequest request = this->events.Next<CallerRequest>();
+  CHECK(FindHeader(request.headers, "X-Smuggled") == nullptr);
+  CHECK(FindHeader(request.headers, "X-Good") != nullptr);
+}
+
+}  // namespace limpetlink::testing
