--- a/src/entry/cluster_flow.cc
+++ b/src/entry/cluster_flow.cc
@@ -60,6 +60,8 @@
       membership(MembershipSettingsOf(shared.settings), &platform) {}
 
 void ClusterFlow::Start() {
+  this->membership.SetProbePayload(
+      [this](Instant now) { return this->configuration.Digest(now); });
   this->configuration.Start(this->shared.now);
   this->membership.Start(this->shared.now);
   this->Flush();
@@ -251,8 +253,6 @@
       std::make_shared<const FleetDocument>(std::move(parsed.document));
   this->shared.fleet_version = adopted.version;
   this->shared.metrics.Add(Counter::kDocumentsAdopted);
-  this->membership.SetProbePayload(
-      this->configuration.Digest(this->shared.now));
   this->shared.actions.emplace_back(
       LogLine{LogLevel::kInfo,
               "fleet document adopted",
--- a/src/entry/operator_pages.cc
+++ b/src/entry/operator_pages.cc
@@ -79,10 +79,8 @@
     const auto organisation =
         AuthenticateCaller(*this->shared.document, request.headers);
     if (!organisation.ok()) {
-      ReplyProblem(
-          this->shared.actions, request.id,
-          {*ErrorCodeOf(organisation.status()), Outcome::kNotRun,
-           std::string(organisation.status().message()), std::nullopt});
+      ReplyProblem(this->shared.actions, request.id,
+                   RefusalOf(organisation.status()));
       return;
     }
     only = (*organisation)->id;
--- a/tests/core/service_fake.h
+++ b/tests/core/service_fake.h
@@ -17,6 +17,7 @@
   std::string method;
   std::string path;
   std::string body;
+  Instant at;
 };
 
 /// @brief Runs every request it receives once, after some time, and answers.
--- a/tests/scenario/caller.h
+++ b/tests/scenario/caller.h
@@ -31,7 +31,7 @@
   bool ended = false;
   bool connected = false;
   int status = 0;
-  bool done = false;         ///< a stream's "[DONE]" arrived
+  bool done = false;  ///< a stream's "[DONE]" arrived
   std::string last_event_id;
   std::vector<std::string> tokens;  ///< of the generation in force
   std::uint32_t restarts = 0;
