Test the idempotency log's answers one by one

Change: replay here and by another start, in progress, reused, unknown, set free, other organisation, platform away with and without a declared first attempt, an answer lost after and before the write, deadline before the write, expiry, checkpoints (bounded segments, no raw keys, parts dropped), a body beyond its bound, damaged segments.

--- /dev/null
+++ b/src/idempotency/tests/idempotency_log_test.cc
@@ -0,0 +1,300 @@
+#include <catch2/catch.hpp>
+
+#include "idempotency/idempotency.h"
+
+namespace limpetlink {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kUnixMs = 1800000000000;
+
+/// One writer against an object API that answers at once, unless told not to.
+struct LogFixture {
+  std::map<std::string, std::string> objects;
+  Instant now{};
+  LogOperationEnd failure = LogOperationEnd::kCreated;  // none
+  bool effect_despite_failure = false;
+  std::vector<LogAction> told;
+  std::unique_ptr<IdempotencyLog> log;
+  int starts = 0;
+  std::uint64_t next_request = 0;
+
+  LogFixture() { this->Restart(); }
+
+  void Restart() {
+    LogOptions options;
+    options.writer = "w" + std::to_string(++this->starts);
+    options.shards = 1;
+    options.segments_per_checkpoint = 4;
+    options.sealed_part_bytes = 2000;
+    this->log = std::make_unique<IdempotencyLog>(options);
+    const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch());
+    this->Step(SetLogClock{kUnixMs + elapsed.count()});
+  }
+
+  void Step(const LogMessage& message) {
+    for (const LogAction& action : this->log->Step(this->now, message)) {
+      if (const auto result = this->Operate(action)) {
+        this->Step(*result);
+      } else {
+        this->told.push_back(action);
+      }
+    }
+  }
+
+  std::optional<LogOperationResult> Operate(const LogAction& action) {
+    const bool fails = this->failure != LogOperationEnd::kCreated;
+    if (const auto* create = std::get_if<LogCreate>(&action)) {
+      const bool effect = !fails || this->effect_despite_failure;
+      const bool made =
+          effect && this->objects.emplace(create->name, create->bytes).second;
+      const auto end =
+          made ? LogOperationEnd::kCreated : LogOperationEnd::kExists;
+      const auto told_end = fails ? this->failure : end;
+      if (this->effect_despite_failure) {
+        this->failure = LogOperationEnd::kCreated;  // only this once
+      }
+      return LogOperationResult{create->operation, told_end, "", {}};
+    }
+    if (const auto* read = std::get_if<LogRead>(&action)) {
+      const auto found = this->objects.find(read->name);
+      const bool there = found != this->objects.end();
+      const auto end =
+          there ? LogOperationEnd::kFound : LogOperationEnd::kAbsent;
+      return LogOperationResult{read->operation,
+                                fails ? this->failure : end,
+                                there ? found->second : "",
+                                {}};
+    }
+    if (const auto* list = std::get_if<LogList>(&action)) {
+      LogOperationResult result{
+          list->operation, LogOperationEnd::kListed, "", {}};
+      result.end = fails ? this->failure : result.end;
+      for (const auto& [name, bytes] : this->objects) {
+        if (name.rfind(list->prefix, 0) == 0) {
+          result.names.push_back(name);
+        }
+      }
+      return result;
+    }
+    if (const auto* erase = std::get_if<LogDelete>(&action)) {
+      this->objects.erase(erase->name);
+      return LogOperationResult{
+          erase->operation, LogOperationEnd::kDeleted, "", {}};
+    }
+    return std::nullopt;
+  }
+
+  /// Claims and runs on until the log has nothing due.
+  RequestId Claim(const std::string& key, const std::string& body = "b",
+                  ClaimAttempt attempt = ClaimAttempt::kMaybeRepeated,
+                  Duration deadline = seconds(60)) {
+    const RequestId request{++this->next_request};
+    this->Step(
+        ClaimKey{request, {"swan"}, key, body, this->now + deadline, attempt});
+    this->Pass(milliseconds(200));
+    return request;
+  }
+
+  void Pass(Duration time) {
+    const Instant end = this->now + time;
+    while (this->log->NextWakeup() <= end) {
+      this->now = std::max(this->now, this->log->NextWakeup());
+      this->Step(LogTick{});
+    }
+    this->now = end;
+  }
+
+  void Finish(RequestId request, const std::string& body) {
+    KeptOutcome outcome;
+    outcome.status = 201;
+    outcome.headers = {{"Content-Type", "text/plain"}};
+    outcome.body = body;
+    this->Step(RecordOutcome{request, outcome});
+    this->Pass(milliseconds(200));
+  }
+
+  template <typename T>
+  const T* Told(RequestId request) const {
+    for (const LogAction& action : this->told) {
+      const T* found = std::get_if<T>(&action);
+      if (found != nullptr && found->request == request) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+
+  ErrorCode RefusedWith(RequestId request) const {
+    const auto* refusal = this->Told<RefuseClaim>(request);
+    REQUIRE(refusal != nullptr);
+    return refusal->problem.code;
+  }
+};
+
+TEST_CASE_METHOD(LogFixture, "key, outcome kept, is replayed by any host") {
+  const RequestId first = this->Claim("k");
+  REQUIRE(this->Told<DispatchClaim>(first) != nullptr);
+  this->Finish(first, "dosed\xFF");
+  REQUIRE(this->Told<OutcomeRecorded>(first) != nullptr);
+  CHECK(this->log->Idle());
+  SECTION("same start") {}
+  SECTION("another start") { this->Restart(); }
+  const RequestId second = this->Claim("k");
+  const auto* replay = this->Told<ReplayOutcome>(second);
+  REQUIRE(replay != nullptr);
+  CHECK(replay->outcome.status == 201);
+  CHECK(replay->outcome.body == "dosed\xFF");
+  REQUIRE(replay->outcome.headers.size() == 1);
+  CHECK(replay->outcome.headers[0].name == "Content-Type");
+  CHECK(this->Told<DispatchClaim>(second) == nullptr);
+}
+
+TEST_CASE_METHOD(LogFixture, "key, in use or used otherwise, is refused") {
+  const RequestId first = this->Claim("k");
+  SECTION("in progress here") {
+    CHECK(this->RefusedWith(this->Claim("k")) ==
+          ErrorCode::kIdempotencyInProgress);
+  }
+  SECTION("another body") {
+    const RequestId other = this->Claim("k", "other");
+    CHECK(this->RefusedWith(other) == ErrorCode::kIdempotencyKeyReused);
+    CHECK(this->Told<RefuseClaim>(other)->problem.outcome == Outcome::kNotRun);
+  }
+  SECTION("intent of a host that is gone") {
+    this->Restart();
+    const RequestId again = this->Claim("k");
+    CHECK(this->RefusedWith(again) == ErrorCode::kIdempotencyOutcomeUnknown);
+    CHECK(this->Told<RefuseClaim>(again)->problem.outcome == Outcome::kUnknown);
+  }
+  SECTION("outcome nobody knows") {
+    this->Step(RecordUnknown{first});
+    CHECK(this->RefusedWith(this->Claim("k")) ==
+          ErrorCode::kIdempotencyOutcomeUnknown);
+  }
+  SECTION("certainly not run, is free again") {
+    this->Step(RecordNotRun{first});
+    this->Pass(seconds(1));
+    CHECK(this->Told<DispatchClaim>(this->Claim("k", "other")) != nullptr);
+  }
+  SECTION("another organisation's key, is another key") {
+    const RequestId other{++this->next_request};
+    this->Step(ClaimKey{other, {"syrtos"}, "k", "b", this->now + seconds(9)});
+    this->Pass(seconds(1));
+    CHECK(this->Told<DispatchClaim>(other) != nullptr);
+  }
+}
+
+TEST_CASE_METHOD(LogFixture, "platform away, claim, is refused at once") {
+  this->Claim("before");
+  this->failure = LogOperationEnd::kUnavailable;
+  const Instant start = this->now;
+  const RequestId first = this->Claim("a", "b", ClaimAttempt::kFirst);
+  const RequestId again = this->Claim("c");
+  CHECK(this->now - start <= milliseconds(400));
+  CHECK(this->RefusedWith(first) == ErrorCode::kIdempotencyLogUnavailable);
+  const Problem& problem = this->Told<RefuseClaim>(first)->problem;
+  CHECK(problem.outcome == Outcome::kNotRun);
+  CHECK(problem.retry_after.has_value());
+  CHECK(this->Told<RefuseClaim>(again)->problem.outcome == Outcome::kUnknown);
+  this->failure = LogOperationEnd::kCreated;
+  this->Pass(seconds(20));
+  CHECK(this->Told<DispatchClaim>(this->Claim("a")) != nullptr);
+  CHECK(this->Told<DispatchClaim>(first) == nullptr);
+}
+
+TEST_CASE_METHOD(LogFixture,
+                 "create, answer lost after the write, dispatches") {
+  this->Claim("before");
+  this->failure = LogOperationEnd::kLost;
+  this->effect_despite_failure = true;
+  const RequestId request = this->Claim("k");
+  CHECK(this->Told<DispatchClaim>(request) != nullptr);
+  CHECK(this->log->Counts().lost_answers == 1);
+}
+
+TEST_CASE_METHOD(LogFixture, "create, no answer at all, frees the key later") {
+  this->Claim("before");
+  this->failure = LogOperationEnd::kLost;
+  const RequestId request = this->Claim("k", "b", ClaimAttempt::kFirst);
+  CHECK(this->RefusedWith(request) == ErrorCode::kIdempotencyLogUnavailable);
+  this->failure = LogOperationEnd::kCreated;
+  this->Pass(seconds(20));
+  CHECK(this->log->Idle() == false);  // "before" is still in progress
+  CHECK(this->Told<DispatchClaim>(request) == nullptr);
+  CHECK(this->Told<DispatchClaim>(this->Claim("k")) != nullptr);
+}
+
+TEST_CASE_METHOD(LogFixture, "deadline, reached before the write, not sent") {
+  const RequestId late =
+      this->Claim("k", "b", ClaimAttempt::kFirst, Duration(0));
+  CHECK(this->RefusedWith(late) == ErrorCode::kRequestDeadlineReached);
+  this->Pass(seconds(1));
+  CHECK(this->Told<DispatchClaim>(this->Claim("k")) != nullptr);
+}
+
+TEST_CASE_METHOD(LogFixture, "key, kept longer than promised, is free again") {
+  const RequestId first = this->Claim("k");
+  this->Finish(first, "x");
+  this->now += hours(23);
+  CHECK(this->Told<ReplayOutcome>(this->Claim("k")) != nullptr);
+  this->now += hours(2);
+  CHECK(this->Told<DispatchClaim>(this->Claim("k", "other")) != nullptr);
+}
+
+TEST_CASE_METHOD(LogFixture, "checkpoints, many orders, bound what is read") {
+  for (int i = 0; i < 40; ++i) {
+    this->Finish(this->Claim("k" + std::to_string(i)), "x");
+  }
+  std::size_t segments = 0;
+  for (const auto& [name, bytes] : this->objects) {
+    segments += name.rfind("log/", 0) == 0 ? 1 : 0;
+    CHECK(bytes.size() < 1000000);
+    CHECK(bytes.find("k39") == std::string::npos);  // no raw keys
+  }
+  CHECK(segments <= 6);
+  this->Restart();
+  for (int i = 0; i < 40; ++i) {
+    CHECK(this->Told<ReplayOutcome>(this->Claim("k" + std::to_string(i))));
+  }
+  SECTION("expired, are dropped with their parts") {
+    this->now += hours(26);
+    this->Restart();
+    for (int i = 0; i < 4; ++i) {
+      this->Finish(this->Claim("new" + std::to_string(i)), "x");
+    }
+    CHECK(this->log->Shard(0).Keys().Size() <= 4);
+    CHECK(this->objects.size() < 10);
+  }
+}
+
+TEST_CASE_METHOD(LogFixture, "outcome, body beyond the bound, keeps the rest") {
+  const RequestId first = this->Claim("k");
+  this->Finish(first, std::string(9000, 'x'));
+  this->Restart();
+  const RequestId again = this->Claim("k");
+  const auto* replay = this->Told<ReplayOutcome>(again);
+  REQUIRE(replay != nullptr);
+  CHECK(replay->outcome.status == 201);
+  CHECK_FALSE(replay->outcome.body_kept);
+}
+
+TEST_CASE("segment, damaged anywhere, is an error and nothing else") {
+  Segment segment;
+  segment.nonce = "w-1";
+  segment.records = {IntentRecord{{"key"}, {"c"}, "d", 5, {}},
+                     OutcomeRecord{{"key"}, {"c"}, 6, {}}};
+  const std::string bytes = EncodeSegment(segment);
+  REQUIRE(DecodeSegment(bytes).ok());
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(DecodeSegment(bytes.substr(0, size)).ok());
+  }
+  CHECK_FALSE(DecodePart(bytes).ok());
+}
+
+}  // namespace
+}  // namespace limpetlink
