--- /dev/null
+++ b/src/leases/lease.cc
@@ -0,0 +1,242 @@
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "leases/leases.h"
+
+namespace limpetlink {
+namespace {
+
+using Json = nlohmann::json;
+
+}  // namespace
+
+std::string WriteLeaseRecord(const LeaseRecord& record) {
+  const Json json = {{"holder", record.holder}, {"epoch", record.epoch}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<LeaseRecord> ReadLeaseRecord(std::string_view json) {
+  const Json value = Json::parse(json, nullptr, false);
+  const bool shape = value.is_object() && value.contains("holder") &&
+                     value["holder"].is_string() && value.contains("epoch") &&
+                     value["epoch"].is_number_unsigned();
+  if (!shape) {
+    return std::nullopt;
+  }
+  return LeaseRecord{value["holder"].get<std::string>(),
+                     value["epoch"].get<std::uint64_t>()};
+}
+
+Lease::Lease(LeaseSettings settings, PlatformClient* platform)
+    : settings(std::move(settings)),
+      platform(platform),
+      random(this->settings.seed ^ StableHash(this->settings.holder)) {}
+
+void Lease::Start(Instant now) {
+  this->started = true;
+  this->Read(now);
+}
+
+void Lease::SetCandidate(Instant now, bool candidate) {
+  if (this->candidate == candidate) {
+    return;
+  }
+  this->candidate = candidate;
+  if (!candidate && this->Held(now)) {
+    this->Release(now);
+  }
+  this->next = std::min(this->next, now);
+}
+
+Instant Lease::Later(Instant now, Duration full) {
+  return now +
+         FromSeconds(ToSeconds(full) * (0.75 + 0.5 * this->random.Fraction()));
+}
+
+void Lease::Read(Instant now) {
+  if (this->op != 0) {
+    return;
+  }
+  const ObjectKey key{std::string(kLeaseKind), this->settings.name};
+  this->op = this->platform->Get(now, key).value;
+  this->op_writes = false;
+}
+
+void Lease::Write(Instant now, const LeaseRecord& record, std::uint64_t base) {
+  const ObjectKey key{std::string(kLeaseKind), this->settings.name};
+  const WriteCondition condition =
+      base == 0 ? WriteCondition::IfAbsent() : WriteCondition::IfVersion(base);
+  this->op =
+      this->platform->Put(now, key, WriteLeaseRecord(record), condition).value;
+  this->op_writes = true;
+  this->written = record;
+  this->sent = now;
+}
+
+bool Lease::OnPlatform(Instant now, const PlatformResult& result) {
+  if (this->op == 0 || result.op.value != this->op) {
+    return false;
+  }
+  this->op = 0;
+  if (this->op_writes) {
+    this->HandleWritten(now, result);
+  } else {
+    this->HandleRead(now, result);
+  }
+  return true;
+}
+
+void Lease::HandleWritten(Instant now, const PlatformResult& written) {
+  if (written.status == PlatformStatus::kOk) {
+    this->See(now, written.version, this->written);
+    this->unresolved = kNever;
+    if (!this->written.holder.empty()) {
+      this->Hold(now, this->sent, this->written.epoch);
+    }
+    this->next = this->Later(now, this->settings.renew_every);
+    return;
+  }
+  if (written.status == PlatformStatus::kUnknown) {
+    this->unresolved = std::min(this->unresolved, this->sent);
+  }
+  // Lost, refused or beaten: only a read tells whose the lease is.
+  this->must_read = true;
+  const bool at_once = written.status == PlatformStatus::kConflict ||
+                       written.status == PlatformStatus::kUnknown;
+  const Duration wait =
+      std::max(this->settings.poll_every / 3, written.retry_after);
+  this->next = at_once ? now : this->Later(now, wait);
+}
+
+void Lease::HandleRead(Instant now, const PlatformResult& read) {
+  this->next = this->Later(now, this->settings.poll_every);
+  if (read.status == PlatformStatus::kAbsent) {
+    this->must_read = false;
+    this->Lose(now);
+    if (this->candidate) {
+      this->Write(now, {this->settings.holder, 1}, 0);
+    }
+    return;
+  }
+  const auto record = read.status == PlatformStatus::kOk
+                          ? ReadLeaseRecord(read.bytes)
+                          : std::nullopt;
+  if (!record) {
+    return;
+  }
+  this->must_read = false;
+  const bool own = record->holder == this->settings.holder;
+  const bool landed =
+      own && read.version > this->seen_version && this->unresolved != kNever;
+  this->See(now, read.version, *record);
+  if (landed) {
+    this->Hold(now, std::exchange(this->unresolved, kNever), record->epoch);
+  }
+  if (own) {
+    this->next = now;
+    return;
+  }
+  this->unresolved = kNever;
+  this->releasing = false;
+  this->Lose(now);
+}
+
+void Lease::See(Instant now, std::uint64_t version, const LeaseRecord& record) {
+  if (version != this->seen_version) {
+    this->seen_version = version;
+    this->seen_at = now;
+  }
+  this->seen = record;
+}
+
+void Lease::Hold(Instant now, Instant sent, std::uint64_t epoch) {
+  if (this->releasing) {
+    return;
+  }
+  if (epoch != this->epoch || !this->told_held) {
+    this->held_since = now;
+  }
+  const Instant until = sent + this->settings.duration - this->settings.margin;
+  this->epoch = epoch;
+  this->held_until = std::max(this->held_until, until);
+  if (!this->told_held && this->Held(now)) {
+    this->told_held = true;
+    this->changes.push_back({true, epoch});
+  }
+}
+
+void Lease::Lose(Instant now) {
+  this->held_until = std::min(this->held_until, now);
+  if (this->told_held) {
+    this->told_held = false;
+    this->changes.push_back({false, this->epoch});
+  }
+}
+
+void Lease::Release(Instant now) {
+  this->releasing = this->Held(now);
+  this->candidate = false;
+  this->Lose(now);
+  this->next = now;
+}
+
+void Lease::Drop(Instant now) {
+  this->Lose(now);
+  this->must_read = true;
+  this->next = now;
+}
+
+void Lease::Tick(Instant now) {
+  if (!this->started) {
+    return;
+  }
+  if (this->told_held && !this->Held(now)) {
+    this->Lose(now);
+  }
+  if (this->op != 0 || now < this->next) {
+    return;
+  }
+  this->next = this->Later(now, this->settings.poll_every);
+  if (this->must_read || this->seen_version == 0) {
+    this->Read(now);
+    return;
+  }
+  this->Act(now);
+}
+
+void Lease::Act(Instant now) {
+  const bool own = this->seen.holder == this->settings.holder;
+  if (this->releasing && own) {
+    this->releasing = false;
+    this->Write(now, {"", this->seen.epoch}, this->seen_version);
+    return;
+  }
+  if (own && this->Held(now)) {
+    this->Write(now, this->seen, this->seen_version);
+    return;
+  }
+  const Duration unchanged = now - this->seen_at;
+  const Duration patience = this->settings.duration + this->settings.margin;
+  const bool free = own || this->seen.holder.empty() || unchanged >= patience;
+  if (this->candidate && free) {
+    this->Write(now, {this->settings.holder, this->seen.epoch + 1},
+                this->seen_version);
+    return;
+  }
+  this->Read(now);
+}
+
+Instant Lease::NextWakeup() const {
+  Instant wake = this->op == 0 ? this->next : kNever;
+  if (this->told_held) {
+    wake = std::min(wake, this->held_until);
+  }
+  return wake;
+}
+
+std::vector<LeaseChange> Lease::TakeChanges() {
+  return std::exchange(this->changes, {});
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/placement/engine.cc
@@ -0,0 +1,62 @@
+#include "placement/detail/engine.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace limpetlink {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string ReadText(const Json& value, const char* member) {
+  const auto found = value.find(member);
+  const bool is_text = found != value.end() && found->is_string();
+  return is_text ? found->get<std::string>() : std::string();
+}
+
+}  // namespace
+
+std::optional<EngineReport> ReadEngineReport(std::string_view json) {
+  const Json value = Json::parse(json, nullptr, false);
+  const bool shape = value.is_object() && value.contains("model") &&
+                     value["model"].is_string() && value.contains("version") &&
+                     value["version"].is_string();
+  if (!shape) {
+    return std::nullopt;
+  }
+  EngineReport report;
+  report.state.model = ReadText(value, "model");
+  report.state.version = ReadText(value, "version");
+  report.state.role = ReadText(value, "role");
+  report.order_id = ReadText(value, "order_id");
+  report.order_state = ReadText(value, "order_state");
+  if (value.contains("draining") && value["draining"].is_boolean()) {
+    report.draining = value["draining"].get<bool>();
+  }
+  if (value.contains("fence") && value["fence"].is_number_unsigned()) {
+    report.fence = value["fence"].get<std::uint64_t>();
+  }
+  if (value.contains("adapters") && value["adapters"].is_array()) {
+    for (const Json& adapter : value["adapters"]) {
+      if (adapter.is_string()) {
+        report.state.adapters.push_back(adapter.get<std::string>());
+      }
+    }
+  }
+  std::sort(report.state.adapters.begin(), report.state.adapters.end());
+  return report;
+}
+
+std::string WriteOrder(std::uint64_t fence, const std::string& order_id,
+                       const EngineState& wanted) {
+  const Json order = {{"fence", fence},
+                      {"order_id", order_id},
+                      {"wanted",
+                       {{"model", wanted.model},
+                        {"version", wanted.version},
+                        {"adapters", wanted.adapters},
+                        {"role", wanted.role}}}};
+  return order.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/placement/tests/placement_test.cc
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -5,5 +5,6 @@
 #pragma once
 
 #include "platform/detail/client.h"
+#include "platform/detail/encode.h"
 #include "platform/detail/read_back.h"
 #include "platform/detail/types.h"
