Give organisations their own output lengths in the measured mixes

Cause: all organisations drew the same lengths, so histograms by organisation could not be seen to earn their keep. Waits now run from 180 s at weight 0 to 4 s at 1, the risk bound from 20% to 0.1%.

--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr double kMilliseconds = 1000.0;
+constexpr double kSlowStream = 500;     // microseconds of a step for a stream
+constexpr double kSlowLoad = 0.6;       // of the usual engine's capacity
 constexpr double kBacklogRate = 400.0;  // requests/s, far beyond capacity
 
 /// One line of the tables.
@@ -164,12 +166,27 @@
         }
       }
     }
+    for (const NamedPolicy& policy : Ablations()) {
+      const bool cap = policy.name == "all" || policy.name == "no batch cap";
+      if (options.count("ablate") != 0 && cap) {
+        TrialSettings settings = base;
+        settings.engine.stream_microseconds = kSlowStream;
+        settings.per_second = rate * kSlowLoad;
+        table.Add(mix, {"slow - " + policy.name, policy.make}, kSlowLoad,
+                  settings);
+      }
+    }
     for (const double load : {0.9, 1.5}) {
       for (const NamedPolicy& policy : Ablations()) {
         if (options.count("ablate") != 0) {
           add({"- " + policy.name, policy.make}, load);
         }
       }
+      for (const NamedPolicy& policy : RiskSweep()) {
+        if (options.count("sweep") != 0) {
+          add(policy, load);
+        }
+      }
     }
   }
   nlohmann::json rows = nlohmann::json::array();
@@ -193,6 +210,7 @@
       "only", "one policy's name",
       cxxopts::value<std::string>()->default_value(""))(
       "ablate", "also run ours without one mechanism each")(
+      "sweep", "also run ours with other bounds on the risk")(
       "cost-only", "only time the decisions")("help", "print this");
   const auto options = parser.parse(argc, argv);
   if (options.count("help") != 0) {
--- a/bench/decisions_mix.cc
+++ b/bench/decisions_mix.cc
@@ -22,6 +22,11 @@
       std::clamp<double>(value, shape.least, shape.most));
 }
 
+LengthShape Scaled(LengthShape shape, double factor) {
+  shape.median *= factor;
+  return shape;
+}
+
 std::size_t DrawOrganisation(Random& random, const Mix& mix) {
   double total = 0;
   for (const double each : mix.demand) {
@@ -48,8 +53,9 @@
   mix.verdict_prompt = {250, 0.3, 170, 2000};
   mix.verdict_output = {12, 0.6, 2, 64};
   mix.draft_prompt = {700, 0.5, 170, 6000};
-  mix.draft_output = {350, 1.2, 8, 32768};
+  mix.draft_output = {350, 0.9, 8, 32768};
   mix.demand = {4, 3, 2, 1, 1, 1, 1, 1, 1, 1};
+  mix.scale = {0.5, 1.5, 0.3, 6, 0.5, 1, 0.3, 2, 0.5, 3};
   return mix;
 }
 
@@ -62,8 +68,9 @@
   mix.verdict_prompt = {300, 0.3, 170, 2000};
   mix.verdict_output = {20, 0.6, 2, 96};
   mix.draft_prompt = {900, 0.6, 170, 8000};
-  mix.draft_output = {600, 1.3, 8, 32768};
+  mix.draft_output = {600, 0.9, 8, 32768};
   mix.demand = {5, 3, 3, 1, 1, 1, 1, 1, 1, 1};
+  mix.scale = {0.5, 1.5, 0.3, 8, 0.5, 1, 0.3, 2, 0.5, 4};
   return mix;
 }
 
@@ -85,8 +92,9 @@
         verdict ? RequestClass::kVerdict : RequestClass::kDraft;
     arrival.prompt_tokens =
         Draw(random, verdict ? mix.verdict_prompt : mix.draft_prompt);
-    arrival.output_tokens =
-        Draw(random, verdict ? mix.verdict_output : mix.draft_output);
+    const double scale = mix.scale[arrival.organisation];
+    arrival.output_tokens = Draw(
+        random, verdict ? mix.verdict_output : Scaled(mix.draft_output, scale));
     if (random.Fraction() < kPrefixPart) {
       arrival.prefix = static_cast<std::uint32_t>(1 + arrival.organisation * 2 +
                                                   (verdict ? 1 : 0));
@@ -101,7 +109,9 @@
   double sum = 0;
   for (std::size_t i = 0; i < kMeanDraws; ++i) {
     const bool verdict = random.Fraction() < mix.verdict_part;
-    sum += Draw(random, verdict ? mix.verdict_output : mix.draft_output);
+    const double scale = mix.scale[DrawOrganisation(random, mix)];
+    sum += Draw(random,
+                verdict ? mix.verdict_output : Scaled(mix.draft_output, scale));
   }
   return sum / static_cast<double>(kMeanDraws);
 }
--- a/bench/decisions_mix.h
+++ b/bench/decisions_mix.h
@@ -41,6 +41,7 @@
   LengthShape draft_prompt;
   LengthShape draft_output;
   std::vector<double> demand;  ///< of each organisation, relative
+  std::vector<double> scale;   ///< of each organisation's draft lengths
   std::uint32_t max_output_tokens = 32768;
   Duration verdict_deadline{std::chrono::seconds(10)};
   Duration draft_deadline{std::chrono::seconds(120)};
--- a/bench/decisions_policies.cc
+++ b/bench/decisions_policies.cc
@@ -330,9 +330,23 @@
           {"first come", Baseline(BaselineRule::kFirstCome)}};
 }
 
+std::vector<NamedPolicy> RiskSweep() {
+  std::vector<NamedPolicy> policies;
+  for (const double risk : {0.002, 0.01, 0.03, 0.1, 0.2, 0.4}) {
+    const std::string name = "risk " + std::to_string(risk).substr(0, 5);
+    policies.push_back({name, Dispatching([risk](AdmissionPolicy& policy) {
+                          policy.overflow_risk = risk;
+                        })});
+  }
+  return policies;
+}
+
 std::vector<NamedPolicy> Ablations() {
   return {{"all", Dispatching()},
           {"no risk", Dispatching([](AdmissionPolicy& p) { p.risk = false; })},
+          {"no org lengths", Dispatching([](AdmissionPolicy& p) {
+             p.organisation_lengths = false;
+           })},
           {"no batch cap",
            Dispatching([](AdmissionPolicy& p) { p.batch_cap = false; })},
           {"no prefill cap",
--- a/bench/decisions_policies.h
+++ b/bench/decisions_policies.h
@@ -36,6 +36,9 @@
 /// @return ours first, then the baselines
 std::vector<NamedPolicy> ComparedPolicies();
 
+/// @return ours with other bounds on the risk that memory overflows
+std::vector<NamedPolicy> RiskSweep();
+
 /// @return ours without one mechanism each
 std::vector<NamedPolicy> Ablations();
 
--- a/src/admission/detail/policy.h
+++ b/src/admission/detail/policy.h
@@ -13,6 +13,7 @@
   Duration step_target{0};      ///< longest decode step wanted
   Duration longest_wait{0};     ///< a longer expected wait is refused at once
   double headroom_deviations = 2.0;  ///< verdict headroom above its mean
+  bool organisation_lengths = true;  ///< false: lengths by route only
   bool risk = true;         ///< false: admit on current use (for comparisons)
   bool batch_cap = true;    ///< false: no cap on the batch
   bool prefill_cap = true;  ///< false: no cap on prefill in flight
--- a/src/admission/policy.cc
+++ b/src/admission/policy.cc
@@ -7,11 +7,11 @@
 
 // Each bound runs geometrically from its value at weight 0 to that at weight 1.
 constexpr double kRiskAt0 = 0.2;
-constexpr double kRiskAt1 = 0.0005;
+constexpr double kRiskAt1 = 0.001;
 constexpr double kStepAt0 = 0.081;  // seconds: three times the stated target
 constexpr double kStepAt1 = 0.024;  // seconds: a little under it
-constexpr double kWaitAt0 = 60.0;   // seconds
-constexpr double kWaitAt1 = 5.0;    // seconds
+constexpr double kWaitAt0 = 180.0;  // seconds
+constexpr double kWaitAt1 = 4.0;    // seconds
 constexpr double kHeadroomAt0 = 1.0;
 constexpr double kHeadroomAt1 = 4.0;
 
--- a/src/dispatch/core.cc
+++ b/src/dispatch/core.cc
@@ -158,6 +158,9 @@
     entry.key.ticket = ticket;
   }
   entry.length_key = {message.target, message.route, message.organisation};
+  if (!this->policy.organisation_lengths) {
+    entry.length_key.organisation = {};
+  }
   entry.demand.request_class = message.request_class;
   entry.demand.prompt_tokens = message.prompt_tokens;
   entry.demand.max_output_tokens = message.max_output_tokens > 0
