limpetctl: ask listed hosts at their callers' port

Cause: the host list has the port at which hosts reach one another, so status asked a websocket port.

--- a/programs/limpetctl/commands.h
+++ b/programs/limpetctl/commands.h
@@ -25,6 +25,7 @@
   std::string platform;  ///< "http://ip:port"
   std::string fleet;     ///< name; needed where no file names it
   std::string hosts;     ///< "ip:port,..." of entry hosts; empty: host list
+  std::uint64_t host_port = 8080;  ///< callers' port of hosts in the host list
   std::string operator_key;
   std::string author;
   std::string output;  ///< file for export; empty: standard output
--- a/programs/limpetctl/host_commands.cc
+++ b/programs/limpetctl/host_commands.cc
@@ -8,6 +8,11 @@
 
 using Json = nlohmann::ordered_json;
 
+/// The host list gives the port for other hosts; callers have another.
+std::string WithPort(const std::string& address, std::uint64_t port) {
+  return absl::StrCat(address.substr(0, address.rfind(':')), ":", port);
+}
+
 absl::StatusOr<std::vector<std::string>> HostAddresses(
     const CtlContext& context) {
   const std::vector<std::string> given = SplitAddresses(context.settings.hosts);
@@ -23,7 +28,7 @@
   std::vector<std::string> addresses;
   for (const ListedHost& host : listed.hosts) {
     if (host.role == ListedRole::kEntry) {
-      addresses.push_back(host.address);
+      addresses.push_back(WithPort(host.address, context.settings.host_port));
     }
   }
   return addresses;
--- a/programs/limpetctl/main.cc
+++ b/programs/limpetctl/main.cc
@@ -33,6 +33,8 @@
       .Text("fleet", "the fleet's name", &settings->fleet)
       .Text("host", "entry hosts, ip:port,...; default: the host list",
             &settings->hosts)
+      .Number("host-port", "callers' port of hosts in the host list",
+              &settings->host_port, 1, UINT16_MAX)
       .Text("operator-key", "key for entry hosts", &settings->operator_key)
       .Text("author", "author of a change; default: the user",
             &settings->author)
--- a/programs/limpetctl/tests/commands_test.cc
+++ b/programs/limpetctl/tests/commands_test.cc
@@ -214,5 +214,25 @@
   CHECK(result.json["hosts"][2]["answered"] == false);
 }
 
+TEST_CASE_METHOD(CtlCommands, "status, no hosts given, asks the listed hosts") {
+  std::vector<std::string> asked;
+  this->context.exchange = [&asked](const HttpCall& call) -> HttpAnswer {
+    asked.push_back(call.url);
+    const bool list = call.url.find("/v1/hosts") != std::string::npos;
+    return {HttpEnd::kComplete,
+            200,
+            {},
+            list ? R"({"hosts":[
+                {"id":"h1","address":"127.0.0.7:7000","role":"entry","leaving":false},
+                {"id":"e1","address":"127.0.0.8:8000","role":"upstream","leaving":false}]})"
+                 : R"({"host":"h1","ready":true,"fleet_version":4})"};
+  };
+  const CommandResult result = this->Run("status", {});
+  CHECK(result.code == ExitCode::kOk);
+  REQUIRE(asked.size() == 2);
+  CHECK(asked[1] == "http://127.0.0.7:8080/v1/status");
+  CHECK(result.json["uniform"] == true);
+}
+
 }  // namespace
 }  // namespace limpetlink
