--- /dev/null
+++ b/fakes/fake_service_main.cc
@@ -0,0 +1,16 @@
+#include "fakes/fake_service.h"
+#include "settings/settings.h"
+
+int main(int argc, char** argv) {
+  std::string listen;
+  limpetlink::SettingsParser parser(
+      "limpet-fake-service", "Stands in for an application service in tests.");
+  parser.Address("listen", "address to serve on, ip:port", &listen,
+                 limpetlink::Need::kRequired);
+  if (const std::optional<int> code = parser.ParseOrExitCode(argc, argv)) {
+    return *code;
+  }
+  limpetlink::FakeHost host;
+  const limpetlink::FakeService service(&host);
+  return limpetlink::RunFake(&host, listen);
+}
