Measure what one entry host's core costs

Cause: docs/CAPACITY.md needs slopes of the core: time for a token, a request, an idle second, and memory for a stream.

--- /dev/null
+++ b/bench/entry.cmake
@@ -0,0 +1,3 @@
+limpetlink_program(limpet-bench-entry
+  SOURCES entry_slopes.cc
+  DEPS limpetlink::entry)
