Render what a stream's chunks share once

Cause: a token cost 7 to 10 us in the core, most of it building and dumping the same JSON anew. Ruled out: the stream and the dispatcher, which a token passes in constant time. Change: ChunkWriter renders a chunk once around a mark and puts each token's text in its place.

--- a/src/entry/completion_body.cc
+++ b/src/entry/completion_body.cc
@@ -91,6 +91,18 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+std::string RenderChunk(const AnswerHeader& header, std::string_view text,
+                        std::string_view finish_reason) {
+  const bool chat = header.kind == CompletionKind::kChat;
+  const json chunk = {
+      {"id", header.id},
+      {"object", chat ? "chat.completion.chunk" : "text_completion"},
+      {"model", header.model},
+      {"choices",
+       json::array({ChunkChoice(header.kind, text, finish_reason)})}};
+  return DumpLine(chunk);
+}
+
 }  // namespace
 
 absl::StatusOr<CompletionBody> ParseCompletionBody(CompletionKind kind,
@@ -135,16 +147,25 @@
   return blocks;
 }
 
-std::string WriteChunk(const AnswerHeader& header, std::string_view text,
-                       std::string_view finish_reason) {
-  const bool chat = header.kind == CompletionKind::kChat;
-  const json chunk = {
-      {"id", header.id},
-      {"object", chat ? "chat.completion.chunk" : "text_completion"},
-      {"model", header.model},
-      {"choices",
-       json::array({ChunkChoice(header.kind, text, finish_reason)})}};
-  return DumpLine(chunk);
+ChunkWriter::ChunkWriter(const AnswerHeader& answer) : header(answer) {
+  // A text that JSON writes as it stands and that no id or model can hold.
+  const std::string mark = "\\u0001text\\u0001";
+  const std::string chunk = RenderChunk(this->header, "\x01text\x01", "");
+  const std::string quoted = "\"" + mark + "\"";
+  const std::size_t at = chunk.find(quoted);
+  this->before_text = chunk.substr(0, at);
+  this->after_text = chunk.substr(at + quoted.size());
+}
+
+std::string ChunkWriter::Token(std::string_view text) const {
+  std::string chunk = this->before_text;
+  chunk += DumpLine(json(text));
+  chunk += this->after_text;
+  return chunk;
+}
+
+std::string ChunkWriter::Finish(std::string_view finish_reason) const {
+  return RenderChunk(this->header, "", finish_reason);
 }
 
 std::string WriteWholeAnswer(const AnswerHeader& header, std::string_view text,
--- a/src/entry/completion_flow.cc
+++ b/src/entry/completion_flow.cc
@@ -130,6 +130,7 @@
   completion.prompt_tokens = EstimatePromptTokens(completion.body.prompt);
   completion.header = {kind, absl::StrCat("cmpl-", completion.trace.span_id),
                        completion.body.model};
+  completion.chunks.emplace(completion.header);
   return this->TakeUp(request, completion);
 }
 
@@ -453,9 +454,8 @@
     completion.collected += token.text;
     return;
   }
-  this->SendEvent(completion,
-                  {this->MintToken(completion, token.offset + 1), "",
-                   WriteChunk(completion.header, token.text, "")});
+  this->SendEvent(completion, {this->MintToken(completion, token.offset + 1),
+                               "", completion.chunks->Token(token.text)});
 }
 
 void CompletionFlow::CarryOut(Completion& completion,
@@ -467,7 +467,7 @@
   const std::string_view reason = ToText(finish.reason);
   if (completion.body.stream) {
     this->SendEvent(completion, {this->MintToken(completion, finish.tokens), "",
-                                 WriteChunk(completion.header, "", reason)});
+                                 completion.chunks->Finish(reason)});
     this->SendEvent(completion, {"", "", "[DONE]"});
     this->shared.actions.emplace_back(ReplyEnd{completion.id, false});
   } else {
--- a/src/entry/detail/completion.h
+++ b/src/entry/detail/completion.h
@@ -35,6 +35,7 @@
   Route route;
   CompletionBody body;
   AnswerHeader header;
+  std::optional<ChunkWriter> chunks;
   TraceContext trace;
   Instant arrived;
   Instant deadline;
--- a/src/entry/detail/completion_body.h
+++ b/src/entry/detail/completion_body.h
@@ -50,13 +50,28 @@
   std::string model;
 };
 
-/// @brief Writes one chunk of a streamed answer.
-/// @param header the answer's own values
-/// @param text the token's text
-/// @param finish_reason empty but for the last chunk
-/// @return JSON text on one line
-std::string WriteChunk(const AnswerHeader& header, std::string_view text,
-                       std::string_view finish_reason);
+/// @brief Writes the chunks of one streamed answer; what they share is rendered
+/// once.
+class ChunkWriter {
+ public:
+  /// @param header the answer's own values
+  explicit ChunkWriter(const AnswerHeader& header);
+
+  /// @brief Writes a token's chunk.
+  /// @param text the token's text
+  /// @return JSON text on one line. Linear in the text's length.
+  std::string Token(std::string_view text) const;
+
+  /// @brief Writes the last chunk.
+  /// @param finish_reason why the generation ended
+  /// @return JSON text on one line
+  std::string Finish(std::string_view finish_reason) const;
+
+ private:
+  AnswerHeader header;
+  std::string before_text;
+  std::string after_text;
+};
 
 /// @brief Writes a whole answer.
 /// @param header the answer's own values
--- a/src/entry/tests/completion_body_test.cc
+++ b/src/entry/tests/completion_body_test.cc
@@ -54,9 +54,13 @@
 
 TEST_CASE("answer texts, chunk and whole, have the OpenAI-compatible shape") {
   const AnswerHeader header{CompletionKind::kChat, "c1", "m"};
-  const auto chunk = nlohmann::json::parse(WriteChunk(header, "tok", ""));
-  CHECK(chunk["choices"][0]["delta"]["content"] == "tok");
+  const auto chunk = nlohmann::json::parse(ChunkWriter(header).Token("a\"b"));
+  CHECK(chunk["choices"][0]["delta"]["content"] == "a\"b");
   CHECK(chunk["choices"][0]["finish_reason"].is_null());
+  CHECK(chunk["id"] == "c1");
+  const auto last = nlohmann::json::parse(ChunkWriter(header).Finish("stop"));
+  CHECK(last["choices"][0]["finish_reason"] == "stop");
+  CHECK(last["choices"][0]["delta"].empty());
   const auto whole =
       nlohmann::json::parse(WriteWholeAnswer(header, "all", "stop", 3, 4));
   CHECK(whole["choices"][0]["message"]["content"] == "all");
