Keep apart who says that an upstream leaves

Cause: the host list lags; a list that still said 'live' took back what the upstream's own report had said, and the two signs chased each other through the broadcasts. Ruled out: a lost promise so far; the dispatcher's own reading of reports kept new work away, as the new cases showed before the change. Change: each source has its own broadcast; an upstream is used again when no source says it leaves.

--- a/src/entry/cluster_flow.cc
+++ b/src/entry/cluster_flow.cc
@@ -37,6 +37,13 @@
   return membership;
 }
 
+/// Names what a source says of an upstream, as the key of its broadcast.
+std::string SignKey(const UpstreamId& upstream, LeavingSource source) {
+  const std::string_view name = ToText(source);
+  return absl::StrCat(absl::string_view(name.data(), name.size()), "/",
+                      upstream.value);
+}
+
 absl::Status Validate(std::string_view text) {
   const FleetParseResult parsed = ParseFleet(text);
   if (parsed.Ok()) {
@@ -190,48 +197,60 @@
 void ClusterFlow::OnHostList(const HostListRead& list) {
   for (const ListedHost& host : list.hosts) {
     if (host.role == ListedRole::kUpstream) {
-      const WorkerState state =
-          host.leaving ? WorkerState::kLeaving : WorkerState::kLive;
-      this->NoteUpstream(UpstreamId{host.id}, state);
+      this->NoteUpstream(UpstreamId{host.id}, LeavingSource::kHostList,
+                         host.leaving);
     }
   }
 }
 
-// ---- States of upstreams ----
+// ---- Upstreams that leave ----
 
-void ClusterFlow::NoteUpstream(const UpstreamId& upstream, WorkerState state) {
-  const auto known = this->states.find(upstream);
-  const WorkerState before =
-      known == this->states.end() ? WorkerState::kLive : known->second;
-  if (before == state) {
+void ClusterFlow::NoteUpstream(const UpstreamId& upstream, LeavingSource source,
+                               bool leaves) {
+  const auto known = this->leaving.find(upstream);
+  const bool before =
+      known != this->leaving.end() && known->second.count(source) != 0;
+  if (before == leaves) {
     return;
   }
-  const std::uint64_t version = ++this->state_versions[upstream];
-  this->SetState(upstream, state);
-  this->membership.Spread(this->shared.now,
-                          Broadcast{kUpstreamTopic, upstream.value, version,
-                                    std::string(ToText(state))});
+  const std::string key = SignKey(upstream, source);
+  const std::uint64_t version = ++this->sign_versions[key];
+  this->SetLeaving(upstream, source, leaves);
+  const WorkerState state = leaves ? WorkerState::kLeaving : WorkerState::kLive;
+  this->membership.Spread(
+      this->shared.now,
+      Broadcast{kUpstreamTopic, key, version, std::string(ToText(state))});
 }
 
 void ClusterFlow::OnBroadcast(const Broadcast& item) {
   const std::optional<WorkerState> state = ParseEnum<WorkerState>(item.bytes);
-  if (item.topic != kUpstreamTopic || !state) {
+  const std::size_t slash = item.key.find('/');
+  const auto source =
+      ParseEnum<LeavingSource>(std::string_view(item.key).substr(0, slash));
+  if (item.topic != kUpstreamTopic || !state || !source ||
+      slash == std::string::npos) {
     this->shared.metrics.Add(Counter::kPeerFramesRefused);
     return;
   }
-  const UpstreamId upstream{item.key};
-  std::uint64_t& version = this->state_versions[upstream];
+  std::uint64_t& version = this->sign_versions[item.key];
   version = std::max(version, item.version);
-  this->SetState(upstream, *state);
+  this->SetLeaving(UpstreamId{item.key.substr(slash + 1)}, *source,
+                   *state == WorkerState::kLeaving);
 }
 
-void ClusterFlow::SetState(const UpstreamId& upstream, WorkerState state) {
-  if (state == WorkerState::kLive) {
-    this->states.erase(upstream);
-  } else {
-    this->states[upstream] = state;
+void ClusterFlow::SetLeaving(const UpstreamId& upstream, LeavingSource source,
+                             bool leaves) {
+  if (leaves) {
+    this->leaving[upstream].insert(source);
+  } else if (this->leaving.count(upstream) != 0) {
+    this->leaving[upstream].erase(source);
+    if (this->leaving[upstream].empty()) {
+      this->leaving.erase(upstream);
+    }
   }
-  this->shared.Dispatch(SetWorkerState{upstream, state});
+  const bool stays = this->leaving.count(upstream) == 0;
+  this->shared.Dispatch(SetWorkerState{
+      upstream, stays ? WorkerState::kLive : WorkerState::kLeaving});
 }
 
 // ---- Configuration ----
@@ -259,8 +278,8 @@
               {{"version", std::to_string(adopted.version)},
                {"change_id", this->shared.document->change_id}}});
   this->shared.Dispatch(Configure{this->shared.document});
-  for (const auto& [upstream, state] : this->states) {
-    this->shared.Dispatch(SetWorkerState{upstream, state});
+  for (const auto& [upstream, sources] : this->leaving) {
+    this->shared.Dispatch(SetWorkerState{upstream, WorkerState::kLeaving});
   }
   this->on_change();
 }
--- a/src/entry/completion_body.cc
+++ b/src/entry/completion_body.cc
@@ -147,7 +147,7 @@
   return blocks;
 }
 
-ChunkWriter::ChunkWriter(const AnswerHeader& answer) : header(answer) {
+ChunkWriter::ChunkWriter(const AnswerHeader& header) : header(header) {
   // A text that JSON writes as it stands and that no id or model can hold.
   const std::string mark = "\\u0001text\\u0001";
   const std::string chunk = RenderChunk(this->header, "\x01text\x01", "");
--- a/src/entry/detail/cluster_flow.h
+++ b/src/entry/detail/cluster_flow.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "configuration/configuration.h"
@@ -16,6 +17,19 @@
 
 namespace limpetlink {
 
+/// @brief Who says that an upstream leaves. One source does not clear what
+/// another says.
+enum class LeavingSource {
+  kHostList,  ///< the platform's host list, which lags
+  kReport,    ///< the upstream's own load report
+};
+
+template <>
+struct EnumTable<LeavingSource> {
+  static constexpr EnumName<LeavingSource> kRows[] = {
+      {LeavingSource::kHostList, "list"}, {LeavingSource::kReport, "report"}};
+};
+
 /// @brief Keeps document and membership current and tells the dispatcher what
 /// follows.
 class ClusterFlow {
@@ -38,9 +52,10 @@
   /// @brief Sends a dispatcher's message to a peer.
   void SendDispatch(const DispatchSend& send);
 
-  /// @brief Notes a sign of an upstream's state seen by this host and spreads
-  /// it.
-  void NoteUpstream(const UpstreamId& upstream, WorkerState state);
+  /// @brief Notes what a source says of an upstream and spreads it when it
+  /// changed.
+  void NoteUpstream(const UpstreamId& upstream, LeavingSource source,
+                    bool leaving);
 
   /// @brief Lets time pass and carries on what the slices ordered.
   void Tick();
@@ -80,15 +95,18 @@
   void OnBroadcast(const Broadcast& item);
   void Adopt(const ConfigurationAdopted& adopted);
   void SendToPeer(const HostId& to, PeerKind kind, std::string payload);
-  void SetState(const UpstreamId& upstream, WorkerState state);
+  void SetLeaving(const UpstreamId& upstream, LeavingSource source,
+                  bool leaving);
 
   HostContext& shared;
   PlatformClient platform;
   ConfigurationStore configuration;
   Membership membership;
   PeerGate gate;
-  std::map<UpstreamId, WorkerState> states;  ///< other than live
-  std::map<UpstreamId, std::uint64_t> state_versions;
+  std::map<UpstreamId, std::set<LeavingSource>>
+      leaving;  ///< upstreams that leave, and who says so
+  std::map<std::string, std::uint64_t>
+      sign_versions;  ///< by the broadcast's key
 };
 
 }  // namespace limpetlink
--- a/src/entry/detail/worker_reports.h
+++ b/src/entry/detail/worker_reports.h
@@ -16,12 +16,13 @@
 ///        second within bounds, and hands reports to the dispatcher.
 class WorkerReports {
  public:
-  /// @brief Tells a sign of a worker's state.
-  using StateHook = std::function<void(const UpstreamId&, WorkerState)>;
+  /// @brief Takes whether a worker's own report says that it drains.
+  using DrainHook =
+      std::function<void(const UpstreamId& worker, bool draining)>;
 
   /// @param shared the host's state; outlives this
-  /// @param on_state takes the worker's own drain report
-  WorkerReports(HostContext& shared, StateHook on_state);
+  /// @param on_drain told with each report
+  WorkerReports(HostContext& shared, DrainHook on_drain);
 
   /// @brief Asks the dispatcher anew which workers this host owns: the document
   /// or the live hosts
@@ -52,7 +53,7 @@
   void Read(const UpstreamId& worker, const Poll& poll);
 
   HostContext& shared;
-  StateHook on_state;
+  DrainHook on_drain;
   std::map<UpstreamId, Poll> polls;
 };
 
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -21,8 +21,9 @@
         completions(shared),
         services(shared, cluster.Platform()),
         reports(shared,
-                [this](const UpstreamId& upstream, WorkerState state) {
-                  this->cluster.NoteUpstream(upstream, state);
+                [this](const UpstreamId& worker, bool draining) {
+                  this->cluster.NoteUpstream(worker, LeavingSource::kReport,
+                                             draining);
                 }),
         pages(shared, cluster) {
     this->cluster.on_platform_result = [this](const PlatformResult& result) {
--- a/src/entry/worker_reports.cc
+++ b/src/entry/worker_reports.cc
@@ -52,8 +52,8 @@
   return report;
 }
 
-WorkerReports::WorkerReports(HostContext& shared, StateHook on_state)
-    : shared(shared), on_state(std::move(on_state)) {}
+WorkerReports::WorkerReports(HostContext& shared, DrainHook on_drain)
+    : shared(shared), on_drain(std::move(on_drain)) {}
 
 void WorkerReports::Refresh() {
   std::map<UpstreamId, Poll> kept;
@@ -122,9 +122,7 @@
     this->shared.metrics.Add(Counter::kMalformedInput);
     return;
   }
-  if (report->draining) {
-    this->on_state(worker, WorkerState::kLeaving);
-  }
+  this->on_drain(worker, report->draining);
   this->shared.Dispatch(*report);
 }
 
--- a/tests/core/engine_fake.cc
+++ b/tests/core/engine_fake.cc
@@ -152,7 +152,7 @@
                        {"waiting", 0},
                        {"preemptions", 0},
                        {"step_ms", 10},
-                       {"draining", this->draining}};
+                       {"draining", this->draining || this->reports_draining}};
   this->network.Answer(id, 200, {}, report.dump());
 }
 
--- a/tests/core/engine_fake.h
+++ b/tests/core/engine_fake.h
@@ -29,6 +29,9 @@
   /// @brief Refuses new generations as not run and says so in its report.
   void Drain();
 
+  /// @brief Says in its report that it drains, and takes new work all the same.
+  void ReportDraining(bool on) { this->reports_draining = on; }
+
   /// @return generations accepted since the start
   std::uint64_t Accepted() const { return this->accepted; }
 
@@ -57,6 +60,7 @@
   std::uint64_t tokens;
   std::uint64_t life = 0;  ///< rises at each death, so that old work stops
   bool draining = false;
+  bool reports_draining = false;
   std::uint64_t accepted = 0;
   Instant last_accepted{};
   std::map<std::string, Generation> generations;
