--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -8,3 +8,4 @@
 #include "adapters/detail/core_loop.h"
 #include "adapters/detail/http_client.h"
 #include "adapters/detail/http_server.h"
+#include "adapters/detail/peer_links.h"
--- a/src/adapters/tests/support.h
+++ b/src/adapters/tests/support.h
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
