Ask only owned workers for their load, once the view of the hosts has settled

Cause: limpet-bench-fleet showed no load report in a minute at 24 hosts. A host that had just started took itself for the only one, asked all 288 workers, and its next question to each was due after an interval meant for 288; it kept that time when its share fell to 12. Ruled out: the dispatcher's naming of owners, which was right as soon as the other hosts were known. Change: load is asked for, and readiness given, only when the membership's view is current; a new share bounds what is due by its own interval.

--- /dev/null
+++ b/bench/fleet_slopes.cc
@@ -0,0 +1,146 @@
+// Measures what a fleet of composed entry host cores spends on control, at
+// several sizes: bytes between hosts, platform calls, load reports and
+// processor time, idle and under requests. One thread and virtual time; the
+// fakes' own time is not told apart from the cores', so it is an upper bound.
+#include <ctime>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "tests/core/world.h"
+
+namespace limpetlink::bench {
+namespace {
+
+using nlohmann::json;
+using testing::World;
+using testing::WorldOptions;
+
+constexpr int kWorkersPerHost = 12;
+constexpr int kMeasuredSeconds = 60;
+
+double ThreadSeconds() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+struct Counted {
+  std::uint64_t frames;
+  std::uint64_t bytes;
+  std::map<PeerKind, std::uint64_t> by_kind;
+  std::uint64_t platform;
+  std::uint64_t reports;
+  double seconds;
+};
+
+Counted Count(const World& world) {
+  return {world.peer_frames,    world.peer_bytes,   world.peer_bytes_by_kind,
+          world.platform_calls, world.report_calls, ThreadSeconds()};
+}
+
+json PerHostSecond(const Counted& before, const Counted& after,
+                   std::size_t hosts) {
+  const double scale = 1.0 / (static_cast<double>(hosts) * kMeasuredSeconds);
+  json by_kind = json::object();
+  for (const auto& [kind, bytes] : after.by_kind) {
+    const auto earlier = before.by_kind.find(kind);
+    const std::uint64_t base =
+        earlier == before.by_kind.end() ? 0 : earlier->second;
+    by_kind[std::string(ToText(kind))] =
+        static_cast<double>(bytes - base) * scale;
+  }
+  return {
+      {"peer_frames",
+       static_cast<double>(after.frames - before.frames) * scale},
+      {"peer_bytes", static_cast<double>(after.bytes - before.bytes) * scale},
+      {"peer_bytes_by_kind", by_kind},
+      {"platform_calls",
+       static_cast<double>(after.platform - before.platform) * scale},
+      {"report_calls",
+       static_cast<double>(after.reports - before.reports) * scale},
+      {"core_percent", (after.seconds - before.seconds) * scale * 100}};
+}
+
+void SendRequests(World& world, std::size_t hosts, double per_host_second) {
+  const Duration gap =
+      FromSeconds(1.0 / (per_host_second * static_cast<double>(hosts)));
+  Random random(7);
+  const Instant end =
+      world.timeline.Now() + std::chrono::seconds(kMeasuredSeconds);
+  while (world.timeline.Now() < end) {
+    CallerRequest request;
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.body = R"({"model":"model","prompt":"p","max_tokens":400})";
+    world.Send(random.Below(hosts), std::move(request),
+               std::chrono::seconds(60));
+    world.RunFor(gap);
+  }
+}
+
+json Measure(std::size_t hosts, double requests) {
+  WorldOptions options;
+  options.hosts = hosts;
+  options.engines = hosts * kWorkersPerHost;
+  options.services = 0;
+  options.tokens = 100;
+  World world(options);
+  if (!world.RunUntilReady()) {
+    return {{"hosts", hosts}, {"error", "the hosts never came to serve"}};
+  }
+  world.RunFor(std::chrono::seconds(60));
+  const Counted start = Count(world);
+  world.RunFor(std::chrono::seconds(kMeasuredSeconds));
+  const Counted idle = Count(world);
+  json row = {{"hosts", hosts},
+              {"workers", options.engines},
+              {"idle_per_host_second", PerHostSecond(start, idle, hosts)}};
+  if (requests > 0) {
+    SendRequests(world, hosts, requests);
+    std::size_t answered = 0;
+    for (const testing::CallerLog& log : world.callers) {
+      answered += log.status == 200 ? 1 : 0;
+    }
+    row["requests_per_host_second"] = requests;
+    row["sent"] = world.callers.size();
+    row["answered"] = answered;
+    row["loaded_per_host_second"] = PerHostSecond(idle, Count(world), hosts);
+  }
+  return row;
+}
+
+}  // namespace
+}  // namespace limpetlink::bench
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("limpet-bench-fleet",
+                           "Control costs of composed entry host cores");
+  options.add_options()(
+      "hosts", "Fleet sizes",
+      cxxopts::value<std::vector<std::size_t>>()->default_value("6,24,60"))(
+      "requests", "Requests a second at each host; 0 for idle only",
+      cxxopts::value<double>()->default_value("5"))(
+      "json", "File for the results",
+      cxxopts::value<std::string>()->default_value(""))("help",
+                                                        "Print this help");
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  nlohmann::json rows = nlohmann::json::array();
+  for (const std::size_t hosts :
+       parsed["hosts"].as<std::vector<std::size_t>>()) {
+    rows.push_back(
+        limpetlink::bench::Measure(hosts, parsed["requests"].as<double>()));
+    std::cout << rows.back().dump() << std::endl;
+  }
+  const auto file = parsed["json"].as<std::string>();
+  if (!file.empty()) {
+    std::ofstream(file) << rows.dump(2) << '\n';
+  }
+  return 0;
+}
--- a/src/entry/cluster_flow.cc
+++ b/src/entry/cluster_flow.cc
@@ -159,7 +159,8 @@
 }
 
 bool ClusterFlow::Ready() const {
-  return this->configuration.Ready() && this->shared.document != nullptr;
+  return this->configuration.Ready() && this->membership.Current() &&
+         this->shared.document != nullptr;
 }
 
 // ---- Membership ----
--- a/src/entry/detail/worker_reports.h
+++ b/src/entry/detail/worker_reports.h
@@ -20,9 +20,15 @@
   using DrainHook =
       std::function<void(const UpstreamId& worker, bool draining)>;
 
+  /// @brief Says whether the view of the hosts, and so who owns which worker,
+  /// can be trusted.
+  using SettledHook = std::function<bool()>;
+
   /// @param shared the host's state; outlives this
   /// @param on_drain told with each report
-  WorkerReports(HostContext& shared, DrainHook on_drain);
+  /// @param settled asked before any worker is; a host that just started would
+  /// ask them all
+  WorkerReports(HostContext& shared, DrainHook on_drain, SettledHook settled);
 
   /// @brief Asks the dispatcher anew which workers this host owns: the document
   /// or the live hosts
@@ -54,6 +60,8 @@
 
   HostContext& shared;
   DrainHook on_drain;
+  SettledHook settled;
+  bool refresh_due = false;  ///< waits for the view of the hosts to settle
   std::map<UpstreamId, Poll> polls;
 };
 
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -20,11 +20,13 @@
         cluster(shared),
         completions(shared),
         services(shared, cluster.Platform()),
-        reports(shared,
-                [this](const UpstreamId& worker, bool draining) {
-                  this->cluster.NoteUpstream(worker, LeavingSource::kReport,
-                                             draining);
-                }),
+        reports(
+            shared,
+            [this](const UpstreamId& worker, bool draining) {
+              this->cluster.NoteUpstream(worker, LeavingSource::kReport,
+                                         draining);
+            },
+            [this] { return this->cluster.Members().Current(); }),
         pages(shared, cluster) {
     this->cluster.on_platform_result = [this](const PlatformResult& result) {
       this->services.OnPlatform(result);
--- a/src/entry/worker_reports.cc
+++ b/src/entry/worker_reports.cc
@@ -52,10 +52,17 @@
   return report;
 }
 
-WorkerReports::WorkerReports(HostContext& shared, DrainHook on_drain)
-    : shared(shared), on_drain(std::move(on_drain)) {}
+WorkerReports::WorkerReports(HostContext& shared, DrainHook on_drain,
+                             SettledHook settled)
+    : shared(shared),
+      on_drain(std::move(on_drain)),
+      settled(std::move(settled)) {}
 
 void WorkerReports::Refresh() {
+  this->refresh_due = !this->settled();
+  if (this->refresh_due) {
+    return;
+  }
   std::map<UpstreamId, Poll> kept;
   for (const UpstreamId& worker : this->shared.dispatcher.OwnedWorkers()) {
     const Upstream* upstream = this->shared.FindUpstream(worker);
@@ -76,6 +83,11 @@
     this->shared.CancelHttp(poll.call);
   }
   this->polls = std::move(kept);
+  const Instant latest = this->shared.now + this->Interval();
+  for (auto& [worker, poll] : this->polls) {
+    const bool asked = poll.call.value != 0;
+    poll.due = asked ? kNever : std::min(poll.due, latest);
+  }
 }
 
 Duration WorkerReports::Interval() const {
@@ -127,6 +139,9 @@
 }
 
 void WorkerReports::Tick() {
+  if (this->refresh_due) {
+    this->Refresh();
+  }
   for (auto& [worker, poll] : this->polls) {
     if (poll.due > this->shared.now || poll.call.value != 0) {
       continue;
--- a/tests/core/world.h
+++ b/tests/core/world.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "entry/entry.h"
+#include "peers/peers.h"
 #include "tests/core/engine_fake.h"
 #include "tests/core/network.h"
 #include "tests/core/platform_fake.h"
@@ -99,6 +100,11 @@
   std::vector<std::unique_ptr<ServiceFake>> services;
   std::vector<Execution> executions;
   std::vector<CallerLog> callers;
+  std::uint64_t peer_frames = 0;  ///< sent between hosts
+  std::uint64_t peer_bytes = 0;
+  std::map<PeerKind, std::uint64_t> peer_bytes_by_kind;
+  std::uint64_t platform_calls = 0;
+  std::uint64_t report_calls = 0;  ///< for load reports
   std::vector<std::string>
       violations;  ///< found while running, as a version that went down
 
