--- a/src/idempotency/detail/log_options.h
+++ b/src/idempotency/detail/log_options.h
@@ -15,8 +15,8 @@
 /// @brief How the idempotency log behaves. Hosts that share a log must agree on
 /// shards and retention.
 struct LogOptions {
-  std::string writer;         ///< host and start; unique for all time
-  std::uint32_t shards = 16;  ///< never changed while keys are kept
+  std::string writer;        ///< host and start; unique for all time
+  std::uint32_t shards = 8;  ///< never changed while keys are kept
   /// Least time between two segments that this host writes to a shard.
   Duration write_interval{std::chrono::milliseconds(100)};
   /// Longest wait of a claim before it is refused.
--- a/src/idempotency/detail/log_shard.h
+++ b/src/idempotency/detail/log_shard.h
@@ -154,7 +154,8 @@
   void BackOff(LogContext& context);
   void StartLoad(LogContext& context);
   void Unload();
-  void ReadTail(LogContext& context);
+  void ReadTail(LogContext& context, bool for_write = false);
+  void SetFresh(const LogContext& context);
   void TakeNames(LogContext& context, const LogOperationResult& result);
   void TakeNewest(LogContext& context, const LogOperationResult& result);
   void TakeCheckpoint(LogContext& context, const LogOperationResult& result);
@@ -208,6 +209,8 @@
   std::uint32_t segments_since = 0;  ///< the last checkpoint
   std::size_t bytes_since = 0;
   bool last_was_own = false;
+  Instant fresh_until;          ///< no other writer is expected until then
+  bool tail_for_write = false;  ///< the open read of the tail precedes a write
   std::set<std::uint64_t> present;  ///< segments that may exist
   std::set<std::string> floors;     ///< floor objects that may exist
   Checkpoint loading;
--- a/src/idempotency/log_shard_load.cc
+++ b/src/idempotency/log_shard_load.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Duration kReloadPause = std::chrono::milliseconds(20);
+/// How long a view of the log's end is taken for the end. Efficiency only: a
+/// wrong guess costs a create that collides.
+constexpr Duration kFreshFor = std::chrono::seconds(1);
 
 bool IsFailure(LogOperationEnd end) {
   return end == LogOperationEnd::kUnavailable || end == LogOperationEnd::kLost;
@@ -103,7 +106,12 @@
       return;
     }
     if (!writing.empty() || !this->records.empty()) {
-      this->StartWrite(context, writing);
+      // A read costs the platform less than a create that collides.
+      if (context.now < this->fresh_until) {
+        this->StartWrite(context, writing);
+      } else {
+        this->ReadTail(context, true);
+      }
       return;
     }
   }
@@ -284,7 +292,12 @@
   this->ReadNextPart(context);
 }
 
-void LogShard::ReadTail(LogContext& context) {
+void LogShard::SetFresh(const LogContext& context) {
+  this->fresh_until = context.now + kFreshFor;
+}
+
+void LogShard::ReadTail(LogContext& context, bool for_write) {
+  this->tail_for_write = for_write;
   this->Read(context, Step::kReadingTail,
              this->SegmentName(this->next_sequence));
 }
@@ -298,7 +311,12 @@
     }
     this->ApplySegment(*segment, result.bytes.size());
     this->last_was_own = false;
-    this->ReadTail(context);
+    this->ReadTail(context, this->tail_for_write);
+    return;
+  }
+  this->SetFresh(context);
+  if (this->tail_for_write) {
+    this->step = Step::kIdle;  // the write's own check follows
     return;
   }
   this->tail_read = result.operation;
--- a/src/idempotency/log_shard_write.cc
+++ b/src/idempotency/log_shard_write.cc
@@ -93,6 +93,7 @@
     return;
   }
   ++this->counts.collisions;
+  this->fresh_until = context.now;
   this->ApplySegment(*segment, result.bytes.size());
   this->last_was_own = false;
   this->TakeBack(context);
@@ -123,6 +124,7 @@
   this->ApplySegment(write.segment, write.bytes.size());
   this->verified_sequence = this->next_sequence;
   this->last_was_own = true;
+  this->SetFresh(context);
   ++this->counts.segments;
   this->counts.records += write.segment.records.size();
   for (const RequestId request : write.claims) {
