--- a/src/leases/tests/lease_test.cc
+++ b/src/leases/tests/lease_test.cc
@@ -12,7 +12,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing::CallFate;
 
 constexpr Duration kSlice = milliseconds(20);
 constexpr Duration kWay = milliseconds(10);
--- a/tests/hosts/host_group.cc
+++ b/tests/hosts/host_group.cc
@@ -48,12 +48,8 @@
 }
 
 std::size_t HostGroup::IndexOf(const HostId& id) const {
-  for (std::size_t i = 0; i < this->hosts.size(); ++i) {
-    if (this->hosts[i].id == id) {
-      return i;
-    }
-  }
-  return kNobody;
+  const std::size_t index = std::stoul(id.value.substr(id.value.size() - 4));
+  return index < this->hosts.size() ? index : kNobody;
 }
 
 void HostGroup::StartHost(std::size_t index) {
