--- a/bench/hosts_bench.cc
+++ b/bench/hosts_bench.cc
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -45,7 +46,7 @@
   }
   std::sort(values.begin(), values.end());
   const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(last * share + 0.5)];
+  return values[static_cast<std::size_t>(std::lround(last * share))];
 }
 
 /// @brief A document of about this size; `round` changes one row.
