Tell changes of the live hosts together and test 120 hosts

Cause: after a cut heals, hundreds of hosts come back within seconds and each made every slice compute its owners anew. Change: views are told at most each 100 ms. A test with 120 hosts; the bench prints parts as they are done and can leave out the partition.

--- a/bench/hosts_bench.cc
+++ b/bench/hosts_bench.cc
@@ -205,8 +205,8 @@
   return result;
 }
 
-Json MeasureSize(std::size_t hosts, std::size_t bytes, int changes,
-                 int deaths) {
+Json MeasureSize(std::size_t hosts, std::size_t bytes, int changes, int deaths,
+                 bool partition) {
   const double heap_before = HeapBytes();
   HostGroup group(Options(hosts, 42));
   group.WriteDocument(Document(bytes, 1));
@@ -228,8 +228,12 @@
   result["changes"] = MeasureChanges(&group, bytes, changes);
   result["heap_bytes_host"] =
       (HeapBytes() - heap_before) / static_cast<double>(hosts);
+  std::cerr << result.dump() << std::endl;  // parts that are done
   result["deaths"] = MeasureDeaths(&group, deaths);
-  result["partition"] = MeasurePartition(&group);
+  std::cerr << result["deaths"].dump() << std::endl;
+  if (partition) {
+    result["partition"] = MeasurePartition(&group);
+  }
   return result;
 }
 
@@ -247,6 +251,8 @@
       cxxopts::value<std::size_t>()->default_value("50000"))(
       "changes", "changes of the document",
       cxxopts::value<int>()->default_value("10"))(
+      "partition", "also part the hosts for minutes and join them again",
+      cxxopts::value<bool>()->default_value("true"))(
       "deaths", "hosts killed one after the other",
       cxxopts::value<int>()->default_value("5"));
   const auto given = options.parse(argc, argv);
@@ -255,7 +261,7 @@
        given["hosts"].as<std::vector<std::size_t>>()) {
     results.push_back(limpetlink::MeasureSize(
         hosts, given["bytes"].as<std::size_t>(), given["changes"].as<int>(),
-        given["deaths"].as<int>()));
+        given["deaths"].as<int>(), given["partition"].as<bool>()));
     std::cout << results.back().dump(2) << std::endl;
   }
   const std::string file = given["json"].as<std::string>();
--- a/src/membership/detail/membership.h
+++ b/src/membership/detail/membership.h
@@ -205,7 +205,7 @@
   void ReadList(Instant now);
   void AddListed(Instant now, const ListedHost& host);
   void NoteContested(const HostId& from, const Member& heard);
-  void Emit();
+  void Emit(Instant now);
   void Rebuild();
   // probe.cc
   void ProbeNext(Instant now);
@@ -282,6 +282,7 @@
   Instant next_candidate{};
   Instant next_gossip{};
   Instant next_sync{};
+  Instant next_emit{};
   Instant next_list{};
   Instant next_forget{};
   MembershipCounters counters;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -9,6 +9,8 @@
 constexpr std::size_t kMaxMembers = 4096;
 constexpr std::uint32_t kAwarenessAfterFreeze = 2;
 constexpr std::size_t kSyncsAfterFreeze = 3;
+/// Changes that come in a row are told together.
+constexpr Duration kLeastBetweenViews = std::chrono::milliseconds(100);
 constexpr Duration kAloneAfter = std::chrono::seconds(6);
 constexpr Duration kForgetEvery = std::chrono::seconds(30);
 constexpr Duration kBroadcastKept = std::chrono::minutes(10);
@@ -44,7 +46,7 @@
   this->next_list = now;
   this->next_forget = now + kForgetEvery;
   this->RunTimers(now);
-  this->Emit();
+  this->Emit(now);
 }
 
 void Membership::OnPeer(Instant now, const HostId& from,
@@ -89,7 +91,7 @@
   if (!message->payload.empty()) {
     this->actions.emplace_back(ProbePayloadReceived{from, message->payload});
   }
-  this->Emit();
+  this->Emit(now);
 }
 
 void Membership::NoteContested(const HostId& from, const Member& heard) {
@@ -127,7 +129,7 @@
   if (this->records.empty()) {
     this->current = true;  // the list names nobody else
   }
-  this->Emit();
+  this->Emit(now);
 }
 
 void Membership::AddListed(Instant now, const ListedHost& host) {
@@ -164,11 +166,12 @@
 
 void Membership::Leave(Instant now) {
   this->self.state = MemberState::kLeft;
+  this->next_emit = now;
   this->self_sends_left = this->SendsOf();
   this->dirty = true;
   this->next_gossip = now;
   this->RunTimers(now);
-  this->Emit();
+  this->Emit(now);
 }
 
 void Membership::NoticeGap(Instant now) {
@@ -196,7 +199,7 @@
 void Membership::Tick(Instant now) {
   this->NoticeGap(now);
   this->RunTimers(now);
-  this->Emit();
+  this->Emit(now);
 }
 
 void Membership::RunTimers(Instant now) {
@@ -307,11 +310,12 @@
   std::shuffle(this->shuffled.begin(), this->shuffled.end(), this->random);
 }
 
-void Membership::Emit() {
-  if (!this->dirty) {
+void Membership::Emit(Instant now) {
+  if (!this->dirty || now < this->next_emit) {
     return;
   }
   this->dirty = false;
+  this->next_emit = now + kLeastBetweenViews;
   const std::vector<HostId> before = this->live;
   this->Rebuild();
   if (this->live != before) {
@@ -328,6 +332,9 @@
   if (this->HasItems()) {
     next = std::min(next, this->next_gossip);
   }
+  if (this->dirty) {
+    next = std::min(next, this->next_emit);
+  }
   for (const auto& [sequence, probe] : this->probes) {
     const Duration limit = probe.indirect ? this->settings.probe_interval
                                           : this->settings.probe_timeout;
--- a/tests/hosts/membership_test.cc
+++ b/tests/hosts/membership_test.cc
@@ -93,6 +93,31 @@
   }
 }
 
+TEST_CASE_METHOD(MembershipFixture,
+                 "membership, 120 hosts, keep few neighbours and find a death "
+                 "in seconds") {
+  HostGroup group(Options(120, 5));
+  group.StartAll();
+  const auto agree = [&group](Duration limit) {
+    const Instant end = group.now + limit;
+    while (!group.ViewsAgree() && group.now < end) {
+      group.Run(std::chrono::milliseconds(500));
+    }
+    return group.ViewsAgree();
+  };
+  REQUIRE(agree(seconds(30)));
+  group.Run(seconds(20));
+  for (const GroupHost& host : group.hosts) {
+    CHECK(host.membership->Neighbours().size() <= 14);
+  }
+  const std::uint64_t before = Deaths(group);
+  CHECK(before == 0);
+  group.Kill(77);
+  CHECK(agree(seconds(15)));
+  group.StartHost(77);
+  CHECK(agree(seconds(15)));
+}
+
 TEST_CASE_METHOD(MembershipFixture,
                  "membership, a host leaves, others drop it at once") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
