--- a/tests/scenario/caller.cc
+++ b/tests/scenario/caller.cc
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include "tests/scenario/token_order.h"
+#include "fakes/fake_engine_events.h"
 
 namespace limpetlink::scenario {
 namespace {
@@ -97,9 +97,8 @@
 
 Caller::Caller(CallerCall call) {
   this->view.tokens = call.tokens;
-  this->thread = std::thread([this, sent = std::move(call)] {
-    this->Run(sent);
-  });
+  this->thread =
+      std::thread([this, sent = std::move(call)] { this->Run(sent); });
 }
 
 Caller::~Caller() {
@@ -129,8 +128,8 @@
   CURL* handle = curl_easy_init();
   curl_slist* headers = curl_slist_append(nullptr, "Expect:");
   for (const Header& header : call.headers) {
-    headers = curl_slist_append(headers,
-                                (header.name + ": " + header.value).c_str());
+    headers =
+        curl_slist_append(headers, (header.name + ": " + header.value).c_str());
   }
   Transfer transfer{this, handle};
   SetUp(handle, call, headers, &transfer);
@@ -179,12 +178,31 @@
   }
 }
 
+std::string GenerationOf(const CallerView& view) {
+  const auto token =
+      ParseResumeToken(kResumeSecret, {kOrganisation}, view.last_event_id);
+  return token.ok() ? token->generation.value : std::string();
+}
+
+bool TokensInOrder(const CallerView& view) {
+  if (view.tokens.empty()) {
+    return true;
+  }
+  const std::string generation = GenerationOf(view);
+  for (std::size_t i = 0; i < view.tokens.size(); ++i) {
+    if (view.tokens[i] != TokenText(generation, i)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 Json Observe(const CallerView& view) {
   Json seen = {{"ended", view.ended},
                {"status", view.status},
                {"answer", AnswerOf(view)},
                {"tokens", view.tokens.size()},
-               {"in_order", TokensInOrder(view.tokens)},
+               {"in_order", TokensInOrder(view)},
                {"restarts", view.restarts}};
   if (view.problem.is_object()) {
     seen["code"] = view.problem.value("code", "");
--- a/tests/scenario/caller.h
+++ b/tests/scenario/caller.h
@@ -16,6 +16,13 @@
 
 namespace limpetlink::scenario {
 
+/// @brief Secret of the resume tokens on every entry host of a scenario.
+inline constexpr char kResumeSecret[] = "scenario-resume-secret";
+/// @brief The organisation whose key scenario callers use.
+inline constexpr char kOrganisation[] = "org";
+/// @brief That key.
+inline constexpr char kCallerKey[] = "scenario-caller-key";
+
 /// @brief What a caller sends.
 struct CallerCall {
   std::string method;
@@ -31,7 +38,7 @@
   bool ended = false;
   bool connected = false;
   int status = 0;
-  bool done = false;         ///< a stream's "[DONE]" arrived
+  bool done = false;  ///< a stream's "[DONE]" arrived
   std::string last_event_id;
   std::vector<std::string> tokens;  ///< of the generation in force
   std::uint32_t restarts = 0;
@@ -74,9 +81,18 @@
   std::thread thread;
 };
 
+/// @brief Whether the tokens are those of one generation from its first one on,
+/// each once and in order. The generation is taken from the resume token.
+bool TokensInOrder(const CallerView& view);
+
+/// @brief The generation that the last resume token names; empty when there is
+/// none.
+std::string GenerationOf(const CallerView& view);
+
 /// @brief Renders a view as an observation of the scenario language.
 /// @return ended, status, answer ("whole", "incomplete", "refused", "cut",
-/// "none"), tokens, in_order, restarts, code, outcome, retry_after
+/// "none", "foreign" for an error that is no problem), tokens, in_order,
+/// restarts, code, outcome, retry_after
 nlohmann::json Observe(const CallerView& view);
 
 }  // namespace limpetlink::scenario
