Run the entry host as a process, with JSON-line logs and spans

Cause: the core needs a process that carries its orders out. Ruled out: writing log lines on the core's thread (a slow output would hold every stream up; Boost.Log's queue is bounded and drops). Change: limpet-entry with checked settings, SIGTERM drain, adapters' counts beside the core's in /metrics; telemetry slice. Conclusion: the path can be tried end to end next.

--- /dev/null
+++ b/programs/limpet_entry/main.cc
@@ -0,0 +1,73 @@
+#include <random>
+
+#include "programs/limpet_entry/process.h"
+#include "settings/settings.h"
+
+namespace {
+
+constexpr std::uint64_t kLargestBody = 1U << 30U;
+constexpr std::size_t kShortestSecret = 16;
+
+limpetlink::AssignSetting SecretInto(std::string* target) {
+  return [target](const std::string& text) -> std::optional<std::string> {
+    if (text.size() < kShortestSecret) {
+      return "is shorter than 16 characters";
+    }
+    *target = text;
+    return std::nullopt;
+  };
+}
+
+limpetlink::AssignSetting DigestInto(std::string* target) {
+  return [target](const std::string& text) -> std::optional<std::string> {
+    constexpr std::size_t kDigits = 64;
+    if (text.size() != kDigits ||
+        text.find_first_not_of("0123456789abcdef") != std::string::npos) {
+      return "is not 64 lower-case hexadecimal digits";
+    }
+    *target = text;
+    return std::nullopt;
+  };
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using limpetlink::Need;
+  limpetlink::EntryProcessSettings settings;
+  limpetlink::EntryHostSettings& host = settings.host;
+  host.seed =
+      (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
+  limpetlink::SettingsParser parser("limpet-entry",
+                                    "Serves callers of a fleet.");
+  parser.Text("host-id", "name of this host", &host.self.value, Need::kRequired)
+      .Text("failure-domain", "where it stands", &host.failure_domain.value,
+            Need::kRequired)
+      .Address("listen", "address for callers, ip:port", &settings.listen,
+               Need::kRequired)
+      .Address("peer-address", "address at which peers reach it, ip:port",
+               &host.peer_address, Need::kRequired)
+      .Address("peer-listen", "address for peers to bind, if another one",
+               &settings.peer_listen)
+      .Checked("peer-secret", "secret that all hosts share",
+               SecretInto(&settings.peer_secret), Need::kRequired)
+      .Checked("resume-secret", "key of the resume tokens, equal on all hosts",
+               SecretInto(&host.resume_secret), Need::kRequired)
+      .Text("platform", "URL of the platform, http://ip:port",
+            &host.platform_url, Need::kRequired)
+      .Text("fleet", "name of the fleet document", &host.fleet_name,
+            Need::kRequired)
+      .Checked("operator-key-digest",
+               "SHA-256 of the operators' key, hexadecimal",
+               DigestInto(&host.operator_key_digest))
+      .Number("max-body-bytes", "longest body of a caller",
+              &settings.max_body_bytes, 1, kLargestBody)
+      .Number("seed", "seed of the host's random choices", &host.seed, 1,
+              UINT64_MAX)
+      .Choice("log-level", "debug, info, warning or error",
+              &settings.log_level);
+  if (const std::optional<int> code = parser.ParseOrExitCode(argc, argv)) {
+    return *code;
+  }
+  return limpetlink::RunEntryProcess(std::move(settings));
+}
--- /dev/null
+++ b/programs/limpet_entry/process.cc
@@ -0,0 +1,192 @@
+#include "programs/limpet_entry/process.h"
+
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include "adapters/adapters.h"
+#include "programs/limpet_entry/adapter_metrics.h"
+#include "telemetry/telemetry.h"
+
+namespace limpetlink {
+namespace {
+
+LineWriterSettings WriterSettings(const EntryProcessSettings& settings) {
+  const auto wall = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  const WallClock clock{wall - SteadyNow().time_since_epoch()};
+  return {settings.host.self, settings.log_level, clock};
+}
+
+HttpServerSettings ServerSettings(const EntryProcessSettings& settings) {
+  HttpServerSettings server;
+  server.listen = settings.listen;
+  server.max_body_bytes = settings.max_body_bytes;
+  return server;
+}
+
+PeerLinksSettings LinksSettings(const EntryProcessSettings& settings) {
+  PeerLinksSettings links;
+  links.self = settings.host.self;
+  links.listen = settings.peer_listen.empty() ? settings.host.peer_address
+                                              : settings.peer_listen;
+  links.secret = settings.peer_secret;
+  return links;
+}
+
+/// The signals that end the process, taken by a thread of their own.
+class EndSignals {
+ public:
+  EndSignals() {
+    sigemptyset(&this->set);
+    sigaddset(&this->set, SIGTERM);
+    sigaddset(&this->set, SIGINT);
+    sigaddset(&this->set, SIGUSR1);
+    pthread_sigmask(SIG_BLOCK, &this->set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+  ~EndSignals() {
+    if (this->thread.joinable()) {
+      pthread_kill(this->thread.native_handle(), SIGUSR1);
+      this->thread.join();
+    }
+  }
+  EndSignals(const EndSignals&) = delete;
+  EndSignals& operator=(const EndSignals&) = delete;
+
+  void SendTo(CoreLoop* loop) {
+    this->thread = std::thread([this, loop] { this->Wait(loop); });
+  }
+
+  bool EndedAtOnce() const { return this->ended_at_once; }
+
+ private:
+  void Wait(CoreLoop* loop) {
+    int signals = 0;
+    while (true) {
+      int number = 0;
+      sigwait(&this->set, &number);
+      if (number == SIGUSR1) {
+        return;
+      }
+      if (++signals == 1) {
+        loop->RequestDrain();
+        continue;
+      }
+      this->ended_at_once = true;
+      loop->RequestStop();
+    }
+  }
+
+  sigset_t set{};
+  std::thread thread;
+  std::atomic<bool> ended_at_once{false};
+};
+
+/// The adapters that carry the core's orders out.
+class EntryAdapters {
+ public:
+  EntryAdapters(const EntryProcessSettings& settings, CoreLoop* loop,
+                LineWriter* writer)
+      : loop(loop),
+        writer(writer),
+        server(ServerSettings(settings), this->CallerSink()),
+        client(HttpClientSettings{}, loop->Sink()),
+        links(LinksSettings(settings), loop->Sink()) {}
+
+  absl::Status Start() {
+    absl::Status status = this->server.Start();
+    if (status.ok()) {
+      status = this->links.Start();
+    }
+    if (status.ok()) {
+      this->client.Start();
+    }
+    return status;
+  }
+
+  void Stop() {
+    this->server.Stop();
+    this->client.Stop();
+    this->links.Stop();
+  }
+
+  ActionHooks Hooks() {
+    ActionHooks hooks;
+    hooks.carry = [this](Action action) {
+      std::visit(
+          [this](auto&& order) {
+            this->Carry(std::forward<decltype(order)>(order));
+          },
+          std::move(action));
+    };
+    hooks.flush = [this] {
+      this->server.Flush();
+      this->client.Flush();
+    };
+    hooks.idle = [this] { return this->server.Counts().open == 0; };
+    return hooks;
+  }
+
+ private:
+  EventSink CallerSink() {
+    return [this](Event event) {
+      if (const auto* const request = std::get_if<CallerRequest>(&event)) {
+        this->metrics.Note(*request);
+      }
+      this->loop->Post(std::move(event));
+    };
+  }
+
+  void Carry(const ReplyHead& head) { this->server.Take(head); }
+  void Carry(ReplyBody body) { this->server.Take(std::move(body)); }
+  void Carry(const ReplyEnd& end) {
+    if (this->metrics.Forget(end.id)) {
+      this->server.Take(ReplyBody{
+          end.id,
+          RenderAdapterMetrics({this->server.Counts(), this->client.Counts(),
+                                this->links.Counts(), this->loop->Counts()})});
+    }
+    this->server.Take(end);
+  }
+  void Carry(HttpCall call) { this->client.Take(std::move(call)); }
+  void Carry(const HttpCancel& cancel) { this->client.Take(cancel); }
+  void Carry(const HttpPause& pause) { this->client.Take(pause); }
+  void Carry(PeerSend send) { this->links.Take(std::move(send)); }
+  void Carry(const LogLine& line) { this->writer->Write(line, SteadyNow()); }
+  void Carry(const SpanRecord& span) { this->writer->Write(span); }
+
+  CoreLoop* loop;
+  LineWriter* writer;
+  MetricsRequests metrics;
+  HttpServer server;
+  HttpClient client;
+  PeerLinks links;
+};
+
+}  // namespace
+
+int RunEntryProcess(EntryProcessSettings settings) {
+  EndSignals signals;
+  LineWriter writer(WriterSettings(settings), std::cerr);
+  EntryHost host(settings.host);
+  CoreLoop loop(HooksOf(&host));
+  EntryAdapters adapters(settings, &loop, &writer);
+  if (const absl::Status status = adapters.Start(); !status.ok()) {
+    writer.Write(LogLine{LogLevel::kError, std::string(status.message()), {}},
+                 SteadyNow());
+    return 1;
+  }
+  writer.Write(
+      LogLine{LogLevel::kInfo, "listening", {{"address", settings.listen}}},
+      SteadyNow());
+  signals.SendTo(&loop);
+  loop.Run(adapters.Hooks());
+  loop.RequestStop();  // adapters' threads that still post are let go
+  adapters.Stop();
+  writer.Write(LogLine{LogLevel::kInfo, "ended", {}}, SteadyNow());
+  return signals.EndedAtOnce() ? 1 : 0;
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/telemetry/telemetry.h
@@ -0,0 +1,6 @@
+/// @file
+/// @brief Logs and spans as JSON lines.
+#pragma once
+
+#include "telemetry/detail/json_lines.h"
+#include "telemetry/detail/line_writer.h"
