Prove the path with real processes

Cause: the issue asks for the path as separate processes. Ruled out: fixed ports (several runs at once), waiting for times (every step waits for a condition). Change: fixture that starts the binaries by posix_spawn on free loopback ports, an HTTP caller that reads while it waits, seven cases: whole stream, lookup, order once, each refusal, SIGTERM with an open stream, order cut after it ran, an entry host killed in a stream and resumed by another.

--- /dev/null
+++ b/tests/process/child_process.cc
@@ -0,0 +1,88 @@
+#include "tests/process/child_process.h"
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+
+#include "adapters/adapters.h"
+
+namespace limpetlink::testing {
+namespace {
+
+int CodeOf(int status) { return WIFEXITED(status) ? WEXITSTATUS(status) : -1; }
+
+}  // namespace
+
+ChildProcess::ChildProcess(const std::string& program,
+                           std::vector<std::string> arguments,
+                           const std::string& log) {
+  constexpr mode_t kLogMode = 0644;
+  arguments.insert(arguments.begin(), program);
+  std::vector<char*> pointers;
+  pointers.reserve(arguments.size() + 1);
+  for (std::string& argument : arguments) {
+    pointers.push_back(argument.data());
+  }
+  pointers.push_back(nullptr);
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  if (posix_spawn(&this->pid, program.c_str(), &files, nullptr, pointers.data(),
+                  environ) != 0) {
+    this->pid = -1;
+  }
+  posix_spawn_file_actions_destroy(&files);
+}
+
+ChildProcess::~ChildProcess() { this->Kill(); }
+
+void ChildProcess::Signal(int number) const {
+  if (this->pid > 0) {
+    kill(this->pid, number);
+  }
+}
+
+void ChildProcess::Kill() {
+  this->Signal(SIGKILL);
+  this->Wait();
+}
+
+int ChildProcess::Wait() {
+  if (this->pid > 0) {
+    int status = 0;
+    waitpid(this->pid, &status, 0);
+    this->exit_code = CodeOf(status);
+    this->pid = -1;
+  }
+  return this->exit_code;
+}
+
+bool ChildProcess::Running() {
+  int status = 0;
+  if (this->pid > 0 && waitpid(this->pid, &status, WNOHANG) == this->pid) {
+    this->exit_code = CodeOf(status);
+    this->pid = -1;
+  }
+  return this->pid > 0;
+}
+
+std::uint16_t FreePort() {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const SocketAddress any = *ParseSocketAddress("127.0.0.1:0");
+  bind(descriptor, any.Get(), any.size);
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(descriptor, static_cast<sockaddr*>(static_cast<void*>(&bound)),
+              &size);
+  close(descriptor);
+  return ntohs(bound.sin_port);
+}
+
+}  // namespace limpetlink::testing
--- /dev/null
+++ b/tests/process/path_test.cc
@@ -0,0 +1,158 @@
+#include <catch2/catch.hpp>
+#include <csignal>
+
+#include "fakes/fake_engine_events.h"
+#include "tests/process/fleet_fixture.h"
+
+namespace limpetlink::testing {
+namespace {
+
+class PathFixture : public FleetFixture {
+ public:
+  PathFixture() { this->StartEntry(1); }
+
+  /// The only generation that was run, and its whole text.
+  std::string OnlyGeneration() {
+    const auto all = this->Generations();
+    REQUIRE(all.size() == 1);
+    return all.begin()->first;
+  }
+
+  static std::string TextOf(const std::string& generation,
+                            std::uint64_t tokens) {
+    std::string text;
+    for (std::uint64_t offset = 0; offset < tokens; ++offset) {
+      text += TokenText(generation, offset);
+    }
+    return text;
+  }
+
+  nlohmann::json Executions() {
+    return this->caller.Call("GET", this->ServiceUrl("/control/executions"))
+        .Json()["executions"];
+  }
+
+  void CheckProblem(const Answer& answer, int status, const std::string& code) {
+    CHECK(answer.status == status);
+    CHECK(answer.Json().value("code", "") == code);
+    CHECK(answer.Json().value("outcome", "") == "not_run");
+  }
+
+  static std::string CodeText(ErrorCode code) {
+    return std::string(Describe(code).name);
+  }
+
+  Answer Complete(const std::string& body, Headers headers) {
+    return this->caller.Call("POST", this->EntryUrl(1, "/v1/completions"), body,
+                             std::move(headers));
+  }
+};
+
+const std::string kGoodBody =
+    R"({"model":"tasting-model","prompt":"tokens=3","max_tokens":3})";
+
+}  // namespace
+
+TEST_CASE_METHOD(PathFixture,
+                 "a stream, whole path, each token comes once and in order") {
+  const Answer answer = this->caller.Finish(this->BeginStream(1, 200));
+  CHECK(answer.status == 200);
+  CHECK(answer.end == HttpEnd::kComplete);
+  CHECK(JoinTexts(ParseEvents(answer.body)) ==
+        TextOf(this->OnlyGeneration(), 200));
+}
+
+TEST_CASE_METHOD(PathFixture,
+                 "a lookup, whole path, the service's answer comes back") {
+  const Answer answer = this->caller.Call(
+      "GET", this->EntryUrl(1, "/v1/services/trial-bench/recipes/7"), "",
+      WithKey());
+  CHECK(answer.status == 200);
+  CHECK(answer.Json().value("path", "") == "/recipes/7");
+}
+
+TEST_CASE_METHOD(PathFixture,
+                 "an order, sent twice with one key, it runs once") {
+  const std::string url = this->EntryUrl(1, "/v1/services/trial-bench/dosing");
+  const Headers headers = WithKey({{"Idempotency-Key", "order-1"}});
+  const Answer first =
+      this->caller.Call("POST", url, R"({"id":"order-1"})", headers);
+  const Answer second =
+      this->caller.Call("POST", url, R"({"id":"order-1"})", headers);
+  CHECK(first.status == 200);
+  CHECK(second.status == 200);
+  CHECK(second.body == first.body);
+  CHECK(this->Executions().size() == 1);
+}
+
+TEST_CASE_METHOD(PathFixture,
+                 "a request at fault, each kind, a clear problem is told") {
+  const std::string services = this->EntryUrl(1, "/v1/services/");
+  CheckProblem(this->Complete(kGoodBody, {}), 401,
+               CodeText(ErrorCode::kRequestNoKey));
+  CheckProblem(this->Complete(kGoodBody, {{"Authorization", "Bearer wrong"}}),
+               Describe(ErrorCode::kRequestWrongKey).http_status,
+               CodeText(ErrorCode::kRequestWrongKey));
+  CheckProblem(this->Complete(R"({"model":"none","prompt":"x"})", WithKey()),
+               404, CodeText(ErrorCode::kRequestUnknownModel));
+  CheckProblem(this->Complete("{", WithKey()), 400,
+               CodeText(ErrorCode::kRequestMalformed));
+  CheckProblem(this->Complete(std::string(2U << 20U, 'x'), WithKey()), 413,
+               CodeText(ErrorCode::kRequestTooLarge));
+  CheckProblem(this->Complete(kGoodBody, WithKey({{"X-Route", "none"}})),
+               Describe(ErrorCode::kRequestUnknownRoute).http_status,
+               CodeText(ErrorCode::kRequestUnknownRoute));
+  CheckProblem(this->caller.Call("GET", services + "none/x", "", WithKey()),
+               404, CodeText(ErrorCode::kRequestUnknownService));
+  CheckProblem(this->Complete(kGoodBody, WithKey({{"Prefer", "wait=0"}})),
+               Describe(ErrorCode::kRequestDeadlinePast).http_status,
+               CodeText(ErrorCode::kRequestDeadlinePast));
+  CHECK(this->Generations().empty());
+}
+
+TEST_CASE_METHOD(PathFixture,
+                 "SIGTERM with an open stream, the stream ends whole, exit 0") {
+  const CallId id = this->BeginStream(1, 300);
+  REQUIRE(this->caller.WaitForBody(id, "data: "));
+  this->entries[1]->Signal(SIGTERM);
+  const Answer answer = this->caller.Finish(id);
+  CHECK(answer.end == HttpEnd::kComplete);
+  CHECK(JoinTexts(ParseEvents(answer.body)) ==
+        TextOf(this->OnlyGeneration(), 300));
+  CHECK(this->entries[1]->Wait() == 0);
+}
+
+TEST_CASE_METHOD(
+    PathFixture,
+    "an order cut after it ran, sent again, it is unknown and ran once") {
+  this->caller.Call("POST", this->ServiceUrl("/control/faults"),
+                    R"({"fault":"cut_after","times":1})");
+  const std::string url = this->EntryUrl(1, "/v1/services/trial-bench/dosing");
+  const Headers headers = WithKey({{"Idempotency-Key", "order-2"}});
+  const Answer first =
+      this->caller.Call("POST", url, R"({"id":"order-2"})", headers);
+  const Answer second =
+      this->caller.Call("POST", url, R"({"id":"order-2"})", headers);
+  CHECK(first.Json().value("outcome", "") == "unknown");
+  CHECK(second.Json().value("outcome", "") == "unknown");
+  CHECK(this->Executions().size() == 1);
+}
+
+TEST_CASE_METHOD(PathFixture,
+                 "an entry host killed in a stream, another resumes it whole") {
+  this->StartEntry(2);
+  const CallId id = this->BeginStream(1, 300);
+  REQUIRE(this->caller.WaitForBody(id, "data: "));
+  this->entries[1]->Kill();
+  const std::vector<SentEvent> begun =
+      ParseEvents(this->caller.Finish(id).body);
+  REQUIRE_FALSE(begun.empty());
+  const CallId again =
+      this->BeginStream(2, 300, {{"Last-Event-ID", begun.back().id}});
+  const Answer rest = this->caller.Finish(again);
+  CHECK(rest.end == HttpEnd::kComplete);
+  CHECK(JoinTexts(begun) + JoinTexts(ParseEvents(rest.body)) ==
+        TextOf(this->OnlyGeneration(), 300));
+}
+
+}  // namespace limpetlink::testing
