Test that a store never goes back, from peers or an old copy

Found: an answer from an old copy of the object counted as a confirmation of the newer version in force; the new check failed first (age 0 s) and passes since only the version in force confirms.

--- a/src/configuration/store.cc
+++ b/src/configuration/store.cc
@@ -91,10 +91,10 @@
     case PlatformStatus::kOk:
       this->Offer(now, result.version, result.bytes, nullptr);
       this->next_platform = now + kWatchSpacing;
-      if (result.version <= this->version) {
+      if (result.version == this->version) {
         this->Confirm(now, age);
         this->ready = true;
-      } else {
+      } else if (result.version > this->version) {
         this->platform_away = true;  // refused: an older one is all there is
       }
       break;
--- /dev/null
+++ b/src/configuration/tests/store_test.cc
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include "configuration/configuration.h"
+#include "platform/tests/fake_platform.h"
+
+namespace limpetlink {
+namespace {
+
+using std::chrono::seconds;
+
+/// @brief One store whose platform answers are given by hand.
+class StoreFixture {
+ public:
+  StoreFixture()
+      : client({"http://10.0.0.9:80", {50, 50, 50, 50}},
+               [this] { return CallId{++this->last_call}; }),
+        store(Settings(), &client,
+              [](std::string_view) { return absl::OkStatus(); }) {
+    const std::vector<HostId> live = {HostId{"entry-1"}, HostId{"entry-2"}};
+    this->store.OnHosts(this->now, live, {HostId{"entry-2"}});
+    this->store.Start(this->now);
+    this->Answer({200, 5, R"({"mark":"v5"})"});
+  }
+
+  static ConfigurationSettings Settings() {
+    ConfigurationSettings settings;
+    settings.self = HostId{"entry-1"};
+    settings.fleet_name = "today";
+    return settings;
+  }
+
+  /// @brief Answers the open call, if there is one.
+  void Answer(const testing::FakePlatform::Answer& answer) {
+    for (const Action& action : this->client.TakeActions()) {
+      const auto* call = std::get_if<HttpCall>(&action);
+      if (call == nullptr) {
+        continue;
+      }
+      ++this->answered;
+      for (const Event& event : testing::ToEvents(call->id, answer)) {
+        if (const auto* head = std::get_if<HttpHead>(&event)) {
+          this->client.OnHead(this->now, *head);
+        } else if (const auto* chunk = std::get_if<HttpChunk>(&event)) {
+          this->client.OnChunk(this->now, *chunk);
+        } else {
+          this->client.OnDone(this->now, std::get<HttpDone>(event));
+        }
+      }
+    }
+    for (const PlatformResult& result : this->client.TakeResults()) {
+      this->store.OnPlatform(this->now, result);
+    }
+  }
+
+  void PeerOffers(std::uint64_t version, const std::string& text) {
+    ConfigurationDeltas message;
+    message.digest = {version, std::nullopt, true};
+    DocumentDelta whole;
+    whole.to = version;
+    whole.bytes = text;
+    whole.digest = StableHash(text);
+    message.deltas.push_back(whole);
+    this->store.OnPeer(this->now, HostId{"entry-2"},
+                       EncodeConfiguration(message));
+  }
+
+  std::uint64_t last_call = 0;
+  int answered = 0;
+  PlatformClient client;
+  ConfigurationStore store;
+  Instant now{seconds(100)};
+};
+
+TEST_CASE_METHOD(StoreFixture,
+                 "configuration store, older versions from anywhere, are never "
+                 "adopted") {
+  REQUIRE(this->store.Version() == 5);
+  SECTION("from a peer") {
+    this->PeerOffers(3, R"({"mark":"v3"})");
+    this->PeerOffers(5, R"({"mark":"other"})");
+  }
+  SECTION("from a platform that reads an old copy") {
+    this->answered = 0;
+    this->now += seconds(1);
+    this->store.Tick(this->now);
+    this->Answer({200, 4, R"({"mark":"v4"})"});
+    REQUIRE(this->answered > 0);
+    CHECK(this->store.ConfirmedAge(this->now) >= seconds(1));
+  }
+  CHECK(this->store.Version() == 5);
+  CHECK(this->store.Text() == R"({"mark":"v5"})");
+  CHECK(this->store.Counters().adopted == 1);
+}
+
+TEST_CASE_METHOD(StoreFixture,
+                 "configuration store, a peer's bytes do not match their "
+                 "digest, are not adopted") {
+  ConfigurationDeltas message;
+  message.digest = {6, std::nullopt, true};
+  message.deltas.push_back(
+      {0, 6, DeltaForm::kWhole, 0, 0, R"({"mark":"v6"})", 1});
+  this->store.OnPeer(this->now, HostId{"entry-2"},
+                     EncodeConfiguration(message));
+  CHECK(this->store.Version() == 5);
+  CHECK(this->store.Counters().deltas_misfit == 1);
+}
+
+}  // namespace
+}  // namespace limpetlink
