Guard the order of the policies and count the dispatchers' messages

Cause: a later change could undo the measured order unseen, and the control budget of 2 KB/s a host was not measured. The bench counts messages and bytes between 24 hosts with 36 workers of one model, an eighth of the size designed for each.

--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -11,6 +11,7 @@
 
 #include "bench/decisions_cost.h"
 #include "bench/decisions_policies.h"
+#include "bench/decisions_traffic.h"
 
 namespace limpetlink::bench {
 namespace {
@@ -222,6 +223,7 @@
     figures = RunTables(options);
   }
   figures["decision_cost"] = MeasureDecisionCosts();
+  figures["traffic"] = MeasureTraffic();
   const auto file = options["json"].as<std::string>();
   if (!file.empty()) {
     std::ofstream(file) << figures.dump(1) << '\n';
--- a/bench/decisions.cmake
+++ b/bench/decisions.cmake
@@ -6,5 +6,9 @@
 target_link_libraries(limpetlink_bench_decisions
   PUBLIC limpetlink::dispatch limpetlink::routing PRIVATE limpetlink_options)
 limpetlink_program(limpet_bench_decisions
-  SOURCES decisions.cc decisions_cost.cc
+  SOURCES decisions.cc decisions_cost.cc decisions_traffic.cc
+          ${PROJECT_SOURCE_DIR}/src/dispatch/tests/network.cc
   DEPS limpetlink_bench_decisions nlohmann_json::nlohmann_json Threads::Threads)
+limpetlink_test(decisions_order
+  SOURCES tests/decisions_order_test.cc
+  DEPS limpetlink_bench_decisions)
