--- /dev/null
+++ b/src/limits/tests/limits_test.cc
@@ -0,0 +1,93 @@
+#include "limits/limits.h"
+
+#include <catch2/catch.hpp>
+
+namespace limpetlink {
+namespace {
+
+constexpr Instant At(int milliseconds) {
+  return Instant{std::chrono::milliseconds(milliseconds)};
+}
+
+TEST_CASE("fair share, one organisation asks for all, nine are served evenly",
+          "[limits]") {
+  FairShare fair;
+  std::vector<OrganisationId> waiting;
+  for (const char* name : {"big", "b", "c"}) {
+    waiting.push_back(OrganisationId{name});
+    fair.SetWeight(waiting.back(), 1.0);
+  }
+  fair.SetWeight(OrganisationId{"c"}, 2.0);
+  std::map<OrganisationId, double> served;
+  for (int i = 0; i < 4000; ++i) {
+    const OrganisationId next = fair.Order(waiting).front();
+    fair.Charge(next, 100);
+    served[next] += 100;
+  }
+  CHECK(served[OrganisationId{"big"}] == Approx(100000).epsilon(0.01));
+  CHECK(served[OrganisationId{"c"}] == Approx(200000).epsilon(0.01));
+  SECTION("one that was idle saves up no claim") {
+    const OrganisationId late{"late"};
+    fair.Wake(late, waiting);
+    CHECK(fair.Counter(late) >= fair.Counter(fair.Order(waiting).front()));
+  }
+}
+
+TEST_CASE("host limit, no owner answers, enforces the limit by hosts",
+          "[limits]") {
+  HostLimit limit;
+  limit.SetTotal({8, 40}, 4);
+  CHECK(limit.Begin(At(0)) == LimitAnswer::kWithin);
+  CHECK(limit.Begin(At(0)) == LimitAnswer::kWithin);
+  CHECK(limit.Begin(At(0)) == LimitAnswer::kConcurrency);
+  SECTION("an end lets the next in") {
+    limit.End(std::chrono::seconds(1));
+    CHECK(limit.Begin(At(1)) == LimitAnswer::kWithin);
+  }
+  SECTION("a share holds until its time") {
+    limit.Grant({5, 40}, At(6000));
+    CHECK(limit.Begin(At(1)) == LimitAnswer::kWithin);
+    CHECK(limit.Begin(At(6001)) == LimitAnswer::kConcurrency);
+  }
+}
+
+TEST_CASE("host limit, rate is spent, says when it is not", "[limits]") {
+  HostLimit limit;
+  limit.SetTotal({1000, 10}, 1);
+  int within = 0;
+  while (limit.Begin(At(0)) == LimitAnswer::kWithin) {
+    ++within;
+  }
+  CHECK(within == 10);
+  const Duration after = limit.RetryAfter(LimitAnswer::kRate, At(0));
+  CHECK(after == std::chrono::milliseconds(100));
+  CHECK(limit.Begin(At(100)) == LimitAnswer::kWithin);
+}
+
+TEST_CASE("share owner, any hosts ask, shares never pass the limit",
+          "[limits]") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    Random random(seed);
+    ShareOwner owner;
+    owner.SetTotal({60, 120}, 6);
+    std::map<HostId, std::pair<LimitShare, Instant>> held;
+    for (int i = 0; i < 200; ++i) {
+      const Instant now = At(i * 300);
+      const HostId host{"h" + std::to_string(random.Below(6))};
+      const LimitShare wanted{static_cast<double>(random.Below(80)),
+                              static_cast<double>(random.Below(200))};
+      held[host] = {owner.Ask(now, host, wanted), now + kShareLasts};
+      LimitShare sum;
+      for (const auto& [each, share] : held) {
+        const bool fresh = share.second > now;
+        sum.concurrent += fresh ? share.first.concurrent : 0;
+        sum.per_second += fresh ? share.first.per_second : 0;
+      }
+      CHECK(sum.concurrent <= 60.001);
+      CHECK(sum.per_second <= 120.001);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace limpetlink
--- /dev/null
+++ b/src/routing/tests/routing_test.cc
@@ -0,0 +1,94 @@
+#include "routing/routing.h"
+
+#include <catch2/catch.hpp>
+
+namespace limpetlink {
+namespace {
+
+constexpr Instant At(int seconds) {
+  return Instant{std::chrono::seconds(seconds)};
+}
+
+TEST_CASE("prefix hints, gap in the sequence, every hint is cleared",
+          "[routing]") {
+  PrefixHints hints;
+  hints.Observe(1, 11, true);
+  hints.Observe(2, 12, true);
+  CHECK(hints.Leading({11, 12, 13}) == 2);
+  SECTION("a repeat changes nothing") {
+    hints.Observe(2, 12, false);
+    CHECK(hints.Leading({11, 12}) == 2);
+  }
+  SECTION("a gap") {
+    hints.Observe(4, 13, true);
+    CHECK(hints.Leading({11}) == 0);
+    CHECK(hints.Leading({13}) == 1);
+  }
+  SECTION("an eviction") {
+    hints.Observe(3, 11, false);
+    CHECK(hints.Leading({11, 12}) == 0);
+  }
+}
+
+TEST_CASE("worker health, three failures, is ejected and returns slowly",
+          "[routing]") {
+  WorkerHealth health;
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(health.Ejected(At(1)));
+    health.Failed(At(1), false);
+  }
+  CHECK(health.Ejected(At(5)));
+  CHECK_FALSE(health.Ejected(At(6)));
+  CHECK(health.Share(At(6)) == Approx(0.1));
+  CHECK(health.Share(At(21)) == Approx(0.5));
+  CHECK(health.Share(At(36)) == Approx(1.0));
+  SECTION("fails again on return, is out for longer") {
+    for (int i = 0; i < 3; ++i) {
+      health.Failed(At(7), false);
+    }
+    CHECK(health.Ejected(At(16)));
+    CHECK_FALSE(health.Ejected(At(17)));
+  }
+}
+
+TEST_CASE("worker health, gone from the list, no report clears it",
+          "[routing]") {
+  WorkerHealth health;
+  health.Leaving(At(1), true);
+  health.Reported(At(10), false);
+  CHECK(health.Closed(At(10)));
+  health.Listed(At(11));
+  CHECK(health.Closed(At(11)));
+  health.Reported(At(12), false);
+  CHECK_FALSE(health.Closed(At(12)));
+}
+
+TEST_CASE("router, most workers are ejected, they are used all the same",
+          "[routing]") {
+  FleetDocument document;
+  document.failure_domains = {{FailureDomainId{"d"}, "r"}};
+  for (const char* id : {"a", "b", "c"}) {
+    Upstream upstream;
+    upstream.id = UpstreamId{id};
+    upstream.serves = "m";
+    upstream.failure_domain = FailureDomainId{"d"};
+    document.upstreams.push_back(upstream);
+  }
+  Router router{FailureDomainId{"d"}};
+  router.Configure(document);
+  const auto rank = [&] {
+    return router.Rank(At(1), router.WorkersOf("m"), {}, {},
+                       [](const UpstreamId&) { return 0.0; });
+  };
+  for (int i = 0; i < 3; ++i) {
+    router.Health(UpstreamId{"a"}).Failed(At(1), false);
+  }
+  CHECK(rank().size() == 2);
+  for (int i = 0; i < 3; ++i) {
+    router.Health(UpstreamId{"b"}).Failed(At(1), false);
+  }
+  CHECK(rank().size() == 3);
+}
+
+}  // namespace
+}  // namespace limpetlink
