Measure the token relay beside a plain libmicrohttpd-to-libcurl relay

Cause: later work has to be held against the relay's cost. Ruled out: comparing across runs; all three paths run one after another in one run.

--- /dev/null
+++ b/bench/relay.cc
@@ -0,0 +1,239 @@
+// The token relay's cost beside a plain libmicrohttpd-to-libcurl relay, in one
+// run. Usage: limpet-relay-bench [STREAMS [TOKENS]]; needs the programs in
+// build/bin.
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <vector>
+
+#include "adapters/adapters.h"
+#include "operators/operators.h"
+#include "tests/process/child_process.h"
+
+namespace limpetlink {
+namespace {
+
+using testing::ChildProcess;
+using testing::FreePort;
+
+constexpr std::chrono::milliseconds kStagger{3};
+
+struct Figures {
+  double first_token_p50 = 0;  ///< seconds
+  double first_token_p95 = 0;  ///< seconds
+  double tokens = 0;
+  double seconds = 0;
+  double processor_seconds = 0;
+  std::size_t failed = 0;
+};
+
+double ProcessorSeconds(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  std::string field;
+  double ticks = 0;
+  constexpr int kUserTime = 14;
+  constexpr int kSystemTime = 15;
+  for (int index = 1; file >> field && index <= kSystemTime; ++index) {
+    if (index >= kUserTime) {
+      ticks += std::strtod(field.c_str(), nullptr);
+    }
+  }
+  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+/// Reads many streams and notes when the first token of each came.
+class Streams {
+ public:
+  explicit Streams(std::size_t count)
+      : begun(count + 1),
+        first(count + 1),
+        tokens(count + 1),
+        client(HttpClientSettings{},
+               [this](const Event& event) { this->Take(event); }) {
+    this->client.Start();
+  }
+
+  void Run(const std::string& url, const std::string& model, std::size_t count,
+           int length) {
+    for (std::size_t id = 1; id <= count; ++id) {
+      HttpCall call;
+      call.id = CallId{id};
+      call.method = "POST";
+      call.url = url;
+      call.headers = {{"Authorization", "Bearer demo-key"}};
+      call.body = R"({"model":")" + model + R"(","prompt":"tokens=)" +
+                  std::to_string(length) + R"(","max_tokens":)" +
+                  std::to_string(length) + R"(,"stream":true,"generation":")" +
+                  url.substr(url.rfind(':')) + std::to_string(id) + R"("})";
+      this->begun[id] = SteadyNow();
+      this->client.Take(std::move(call));
+      this->client.Flush();
+      std::this_thread::sleep_for(kStagger);
+    }
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->changed.wait(lock, [&] { return this->ended == count; });
+  }
+
+  Figures Result(int length) const {
+    Figures figures;
+    std::vector<double> waits;
+    for (std::size_t id = 1; id < this->begun.size(); ++id) {
+      figures.tokens += static_cast<double>(this->tokens[id]);
+      figures.failed +=
+          this->tokens[id] < static_cast<std::size_t>(length) ? 1 : 0;
+      waits.push_back(ToSeconds(this->first[id] - this->begun[id]));
+    }
+    std::sort(waits.begin(), waits.end());
+    figures.first_token_p50 = waits[waits.size() / 2];
+    figures.first_token_p95 = waits[waits.size() * 95 / 100];
+    return figures;
+  }
+
+ private:
+  void Take(const Event& event) {
+    if (const auto* const chunk = std::get_if<HttpChunk>(&event)) {
+      const std::size_t id = chunk->id.value;
+      if (this->first[id] == Instant{}) {
+        this->first[id] = SteadyNow();
+      }
+      for (std::size_t at = chunk->bytes.find("\"text\":\" t");
+           at != std::string::npos;
+           at = chunk->bytes.find("\"text\":\" t", at + 1)) {
+        ++this->tokens[id];
+      }
+    } else if (std::holds_alternative<HttpDone>(event)) {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      ++this->ended;
+      this->changed.notify_all();
+    }
+  }
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::size_t ended = 0;
+  std::vector<Instant> begun;
+  std::vector<Instant> first;
+  std::vector<std::size_t> tokens;
+  HttpClient client;
+};
+
+Figures Measure(const std::string& url, pid_t pid, std::size_t count,
+                int length) {
+  Streams streams(count);
+  const double processor = ProcessorSeconds(pid);
+  const Instant begun = SteadyNow();
+  streams.Run(url, "tasting-model", count, length);
+  Figures figures = streams.Result(length);
+  figures.seconds = ToSeconds(SteadyNow() - begun);
+  figures.processor_seconds = ProcessorSeconds(pid) - processor;
+  return figures;
+}
+
+void Print(const char* name, const Figures& figures) {
+  std::printf(
+      "%-12s tokens %.0f in %.2f s, first token p50 %.1f ms p95 %.1f ms, "
+      "processor %.2f s, "
+      "%.0f tokens/s a core, %zu short\n",
+      name, figures.tokens, figures.seconds, figures.first_token_p50 * 1e3,
+      figures.first_token_p95 * 1e3, figures.processor_seconds,
+      figures.tokens / std::max(figures.processor_seconds, 1e-3),
+      figures.failed);
+}
+
+std::string Address(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+nlohmann::json Document(const std::string& engine_url) {
+  std::ifstream file(std::string(LIMPETLINK_EXAMPLES) + "/demo.json");
+  nlohmann::json document = nlohmann::json::parse(file);
+  document["organisations"][0]["max_concurrent"] = 10000;
+  document["organisations"][0]["requests_per_second"] = 10000.0;
+  nlohmann::json engine = document["upstreams"][0];
+  engine["url"] = engine_url;
+  document["upstreams"] = nlohmann::json::array({engine});
+  document["services"] = nlohmann::json::array();
+  return document;
+}
+
+HttpAnswer Ask(const std::string& method, const std::string& url,
+               const std::string& body = "") {
+  HttpCall call;
+  call.id = CallId{1};
+  call.method = method;
+  call.url = url;
+  call.body = body;
+  return ExchangeOverCurl(call);
+}
+
+void WaitFor(const std::string& url) {
+  while (Ask("GET", url).status != 200) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
+int Run(std::size_t count, int length) {
+  const std::string bin = std::string(LIMPETLINK_BIN) + "/";
+  const std::string log = "/dev/null";
+  const std::string engine_url = "http://" + Address(FreePort());
+  const std::string platform_url = "http://" + Address(FreePort());
+  const std::uint16_t plain_port = FreePort();
+  const std::string entry = Address(FreePort());
+  const ChildProcess engine(
+      bin + "limpet-fake-engine",
+      {"--listen", engine_url.substr(7), "--step-ms", "27", "--max-running",
+       "4096", "--memory-tokens", "100000000"},
+      log);
+  const ChildProcess platform(bin + "limpet-fake-platform",
+                              {"--listen", platform_url.substr(7)}, log);
+  const ChildProcess plain(bin + "limpet-plain-relay",
+                           {std::to_string(plain_port), engine_url}, log);
+  WaitFor(engine_url + "/v1/load");
+  WaitFor(platform_url + "/v1/hosts");
+  Ask("PUT", platform_url + "/v1/objects/fleet/demo",
+      Document(engine_url).dump());
+  const ChildProcess host(
+      bin + "limpet-entry",
+      {"--host-id", "entry-1", "--failure-domain", "perth-a", "--listen", entry,
+       "--peer-address", Address(FreePort()), "--peer-secret",
+       "secret of the bench", "--resume-secret", "secret of the bench",
+       "--platform", platform_url, "--fleet", "demo"},
+      log);
+  WaitFor("http://" + entry + "/readyz");
+  const Figures direct =
+      Measure(engine_url + "/v1/completions", engine.Pid(), count, length);
+  const Figures relay =
+      Measure("http://" + Address(plain_port) + "/v1/completions", plain.Pid(),
+              count, length);
+  const Figures ours =
+      Measure("http://" + entry + "/v1/completions", host.Pid(), count, length);
+  Print("engine", direct);
+  Print("plain relay", relay);
+  Print("limpet-entry", ours);
+  std::printf(
+      "limpet-entry / plain relay: tokens/s a core %.2f, first token p50 %.2f, "
+      "p95 %.2f\n",
+      (ours.tokens / ours.processor_seconds) /
+          (relay.tokens / relay.processor_seconds),
+      ours.first_token_p50 / relay.first_token_p50,
+      ours.first_token_p95 / relay.first_token_p95);
+  return ours.failed == 0 && relay.failed == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace limpetlink
+
+int main(int argc, char** argv) {
+  const std::size_t count = argc > 1 ? std::strtoul(argv[1], nullptr, 10) : 330;
+  const int length = argc > 2 ? std::atoi(argv[2]) : 400;
+  return limpetlink::Run(count, length);
+}
--- a/fakes/fake_host.h
+++ b/fakes/fake_host.h
@@ -28,10 +28,10 @@
   /// @brief Called when a caller left.
   std::function<void(RequestId)> on_gone;
 
-  Actions Start(Instant now);
-  Actions Step(Instant now, const Event& event);
-  Actions Tick(Instant now);
-  Actions Drain(Instant now);
+  Actions Start(Instant at);
+  Actions Step(Instant at, const Event& event);
+  Actions Tick(Instant at);
+  Actions Drain(Instant at);
   Instant NextWakeup() const;
   bool Drained() const { return this->draining; }
 
--- a/fakes/fake_service.cc
+++ b/fakes/fake_service.cc
@@ -42,7 +42,7 @@
 }
 
 std::string FakeService::TakeFault() {
-  const std::string fault = this->faults.fault;
+  std::string fault = this->faults.fault;
   if (fault != "none" && this->faults.times > 0 && --this->faults.times == 0) {
     this->faults.fault = "none";
   }
--- a/programs/limpet_entry/process.cc
+++ b/programs/limpet_entry/process.cc
@@ -174,8 +174,11 @@
   CoreLoop loop(HooksOf(&host));
   EntryAdapters adapters(settings, &loop, &writer);
   if (const absl::Status status = adapters.Start(); !status.ok()) {
-    writer.Write(LogLine{LogLevel::kError, std::string(status.message()), {}},
-                 SteadyNow());
+    const absl::string_view reason = status.message();
+    LogLine line;
+    line.level = LogLevel::kError;
+    line.message.assign(reason.data(), reason.size());
+    writer.Write(line, SteadyNow());
     return 1;
   }
   writer.Write(
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -51,7 +51,7 @@
 
 void ChildProcess::Kill() {
   this->Signal(SIGKILL);
-  this->Wait();
+  static_cast<void>(this->Wait());
 }
 
 int ChildProcess::Wait() {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -31,6 +31,9 @@
   /// @return its exit code, or -1 after a signal
   int Wait();
 
+  /// @return its process id, or -1 once it has ended
+  pid_t Pid() const { return this->pid; }
+
   /// @return whether it has not ended yet
   bool Running();
 
