--- a/bench/relay.cc
+++ b/bench/relay.cc
@@ -34,6 +34,7 @@
   double seconds = 0;
   double processor_seconds = 0;
   std::size_t failed = 0;
+  std::string problem;  ///< the last refusal that came
 };
 
 double ProcessorSeconds(pid_t pid) {
@@ -92,6 +93,7 @@
           this->tokens[id] < static_cast<std::size_t>(length) ? 1 : 0;
       waits.push_back(ToSeconds(this->first[id] - this->begun[id]));
     }
+    figures.problem = this->problem;
     std::sort(waits.begin(), waits.end());
     figures.first_token_p50 = waits[waits.size() / 2];
     figures.first_token_p95 = waits[waits.size() * 95 / 100];
@@ -105,6 +107,9 @@
       if (this->first[id] == Instant{}) {
         this->first[id] = SteadyNow();
       }
+      if (chunk->bytes.find("\"code\"") != std::string::npos) {
+        this->problem = chunk->bytes;
+      }
       for (std::size_t at = chunk->bytes.find("\"text\":\" t");
            at != std::string::npos;
            at = chunk->bytes.find("\"text\":\" t", at + 1)) {
@@ -120,6 +125,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::size_t ended = 0;
+  std::string problem;  ///< the last refusal that came
   std::vector<Instant> begun;
   std::vector<Instant> first;
   std::vector<std::size_t> tokens;
@@ -147,6 +153,9 @@
       figures.first_token_p95 * 1e3, figures.processor_seconds,
       figures.tokens / std::max(figures.processor_seconds, 1e-3),
       figures.failed);
+  if (!figures.problem.empty()) {
+    std::printf("last refusal: %s\n", figures.problem.c_str());
+  }
 }
 
 std::string Address(std::uint16_t port) {
