Notice a pause before the first event after it is decided

Cause: a host that woke from a pause handled what had queued before its membership and document noticed the gap, so it took a new request on an old view; and a caller that had gone on elsewhere could have its generation cancelled by the woken host. Ruled out: the slices, which notice the gap as soon as they are told the time. Change: EntryHost tells the cluster flow the time first when more than 3 s lie between two steps, and for 10 s after that leaves generations alone whose callers left.

--- a/src/entry/completion_flow.cc
+++ b/src/entry/completion_flow.cc
@@ -243,7 +243,9 @@
 
 void CompletionFlow::OnCallerGone(RequestId id) {
   Completion& completion = this->completions.at(id);
-  this->Advance(completion, StreamCallerLeft{true});
+  // After a pause the caller may have gone on at another host with this
+  // generation.
+  this->Advance(completion, StreamCallerLeft{!this->shared.WokeJustNow()});
   this->Unplace(completion, PlacementEnd::kCancelled);
   this->shared.requests.SetCallerLeft(id);
   this->shared.requests.Finish(id);
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -36,18 +36,19 @@
 
   Actions Start(Instant now) {
     this->shared.now = now;
+    this->last_step = now;
     this->cluster.Start();
     return this->Settle();
   }
 
   Actions Step(Instant now, const Event& event) {
-    this->shared.now = now;
+    this->Begin(now);
     std::visit([this](const auto& content) { this->On(content); }, event);
     return this->Settle();
   }
 
   Actions Tick(Instant now) {
-    this->shared.now = now;
+    this->Begin(now);
     for (const RequestId id : this->shared.requests.Expire(now)) {
       if (this->completions.Owns(id)) {
         this->completions.OnDeadline(id);
@@ -93,6 +94,19 @@
   }
 
  private:
+  /// Notices a pause before anything is decided: membership and document
+  /// refresh first.
+  void Begin(Instant now) {
+    constexpr Duration kPauseMargin = std::chrono::seconds(3);
+    const bool paused = now - this->last_step > kPauseMargin;
+    this->shared.now = now;
+    this->last_step = now;
+    if (paused) {
+      this->shared.woke_at = now;
+      this->cluster.Tick();
+    }
+  }
+
   // ---- Callers ----
 
   void On(const CallerRequest& request) {
@@ -287,6 +301,7 @@
 
   void Decide(const DispatchSend& send) { this->cluster.SendDispatch(send); }
 
+  Instant last_step;
   HostContext shared;
   ClusterFlow cluster;
   CompletionFlow completions;
--- a/src/entry/host_context.cc
+++ b/src/entry/host_context.cc
@@ -55,6 +55,11 @@
                  std::move(name), start, this->now, std::move(attributes)});
 }
 
+bool HostContext::WokeJustNow() const {
+  constexpr Duration kMoment = std::chrono::seconds(10);
+  return this->woke_at != Instant::min() && this->now - this->woke_at < kMoment;
+}
+
 const Upstream* HostContext::FindUpstream(const UpstreamId& id) const {
   if (this->document == nullptr) {
     return nullptr;
--- a/tests/core/path_test.cc
+++ b/tests/core/path_test.cc
@@ -102,5 +102,18 @@
   CHECK(page.find("\"organisation\":\"organisation\"") != std::string::npos);
 }
 
+TEST_CASE_METHOD(
+    PathFixture,
+    "paused host, wakes to a new request, refuses it until it has refreshed") {
+  this->world.FreezeHost(0);
+  const std::size_t caller =
+      this->world.Send(0, Completion(true), std::chrono::seconds(60));
+  this->world.RunFor(std::chrono::seconds(8));
+  this->world.ThawHost(0);
+  this->world.RunFor(std::chrono::milliseconds(1));
+  CHECK(this->world.callers[caller].status == 503);
+  CHECK(this->world.RunUntilReady());
+}
+
 }  // namespace
 }  // namespace limpetlink::testing
