--- a/bench/hosts_bench.cc
+++ b/bench/hosts_bench.cc
@@ -241,7 +241,7 @@
 }  // namespace limpetlink
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("limpet_bench_hosts",
+  cxxopts::Options options("limpet-bench-hosts",
                            "Cost and speed of membership and configuration");
   options.add_options()("json", "file to write",
                         cxxopts::value<std::string>()->default_value(""))(
