Notice a freeze also at a platform's answer

Cause: a host that was frozen could handle a platform's answer before its first Tick; the answer was from before the freeze and confirmed the version as newest. Change: OnPlatform looks for the gap first, which cancels the old question. The test failed first (Ready() true, age 0 s) and passes.

--- a/src/configuration/store.cc
+++ b/src/configuration/store.cc
@@ -82,6 +82,7 @@
 }
 
 bool ConfigurationStore::OnPlatform(Instant now, const PlatformResult& result) {
+  this->NoticeGap(now);
   if (result.op.value != this->open_op || this->open_op == 0) {
     return false;
   }
--- a/src/configuration/tests/store_test.cc
+++ b/src/configuration/tests/store_test.cc
@@ -92,6 +92,17 @@
   CHECK(this->store.Counters().adopted == 1);
 }
 
+TEST_CASE_METHOD(StoreFixture,
+                 "configuration store, a platform's answer from before a "
+                 "freeze arrives first, does not count") {
+  this->now += seconds(1);
+  this->store.Tick(this->now);
+  this->now += seconds(30);
+  this->Answer({204, 0, ""});
+  CHECK_FALSE(this->store.Ready());
+  CHECK(this->store.ConfirmedAge(this->now) > seconds(30));
+}
+
 TEST_CASE_METHOD(StoreFixture,
                  "configuration store, a peer's bytes do not match their "
                  "digest, are not adopted") {
