--- a/tests/scenario/real_fleet.cc
+++ b/tests/scenario/real_fleet.cc
@@ -240,6 +240,7 @@
         done = member->process->Kill();
         break;
       default:
+        member->stopping = step.verb == ProcessVerb::kStop;
         done = member->process->Running()
                    ? member->process->Signal(SignalOf(step.verb))
                    : absl::OkStatus();
@@ -287,6 +288,14 @@
 }
 
 absl::Status RealFleet::StartMember(Member* member) {
+  const auto deadline = SteadyClock::now() + kStartLimit;
+  while (member->stopping && member->process->Running()) {
+    if (SteadyClock::now() >= deadline) {
+      return absl::DeadlineExceededError(member->name + " does not end");
+    }
+    std::this_thread::sleep_for(kLookEvery);
+  }
+  member->stopping = false;
   absl::Status started = member->process->Start();
   if (!started.ok()) {
     return started;
--- a/tests/scenario/real_fleet.h
+++ b/tests/scenario/real_fleet.h
@@ -29,6 +29,7 @@
   std::uint16_t port = 0;
   std::uint16_t peer_port = 0;  ///< of entry hosts
   std::unique_ptr<Process> process;
+  bool stopping = false;  ///< told to end and perhaps not ended yet
 
   /// @return "127.0.0.1:PORT"
   std::string Address() const;
