--- a/bench/decisions_cost.cc
+++ b/bench/decisions_cost.cc
@@ -88,7 +88,7 @@
   nlohmann::json rows = nlohmann::json::array();
   std::printf("%8s %8s %12s %12s %8s\n", "workers", "streams", "submit us",
               "end us", "placed");
-  for (const std::size_t workers : {3, 6, 12, 24, 48, 96}) {
+  for (const std::size_t workers : {3U, 6U, 12U, 24U, 48U, 96U}) {
     Loaded loaded(workers);
     const std::uint64_t streams = loaded.last;
     double submit = 0;
--- a/bench/tests/decisions_order_test.cc
+++ b/bench/tests/decisions_order_test.cc
@@ -27,7 +27,7 @@
                  "[bench]") {
   const Mix mix = SwanCoast();
   constexpr double kTokensPerSecond = 29000;  // 1.5 of capacity
-  for (const std::uint64_t seed : {1, 2, 3}) {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
     this->settings.seed = seed;
     const auto ours = this->Run(mix, kTokensPerSecond, Dispatching());
     const auto greedy =
