Count only placements without a grant as unreserved

Cause: the end of any stream at another owner's worker lowered the count of placements made without a grant, so a silent owner's worker could get more than two. Ruled out: counting by scanning the entries, linear in the streams. Change: the entry remembers how it was placed. Found by reading; no test failed first.

--- a/src/dispatch/core.cc
+++ b/src/dispatch/core.cc
@@ -259,8 +259,9 @@
     this->NoteEnd(entry.worker, message.end);
     this->Send(entry.owner,
                PeerRelease{entry.key.ticket, message.end, message.tokens});
-    auto& unreserved_here = this->unreserved[entry.worker];
-    unreserved_here -= unreserved_here > 0 ? 1 : 0;
+    if (entry.unreserved) {
+      --this->unreserved[entry.worker];
+    }
   }
   const double actual = this->ChargeFor(entry) > 1
                             ? entry.demand.prompt_tokens + message.tokens
--- a/src/dispatch/core_ask.cc
+++ b/src/dispatch/core_ask.cc
@@ -112,6 +112,7 @@
       continue;
     }
     ++count;
+    entry.unreserved = true;
     this->Dequeue(entry, true);
     this->MarkPlaced(entry, candidate.worker, owner);
     return;
--- a/src/dispatch/detail/entries.h
+++ b/src/dispatch/detail/entries.h
@@ -47,7 +47,7 @@
   Instant placed_at;
   std::uint32_t tokens = 0;
   std::int32_t priority = 0;
-  bool first_token = false;
+  bool unreserved = false;  ///< placed without a grant
   double charged = 0;
 };
 
