Run placement as a process; tell the cores the time of day

Cause: orders to engines had a core and no program; the log's clock was never told, so kept outcomes would not have expired by the hosts' clocks. Change: PlacementHost composes document, lease and controller; limpet-placement runs it. The programs share ProcessSignals, which also tells the time of day at the start and each minute.

--- a/programs/limpet_entry/process.cc
+++ b/programs/limpet_entry/process.cc
@@ -1,24 +1,15 @@
 #include "programs/limpet_entry/process.h"
 
-#include <atomic>
-#include <csignal>
 #include <iostream>
-#include <thread>
 
 #include "adapters/adapters.h"
+#include "programs/common/process_signals.h"
 #include "programs/limpet_entry/adapter_metrics.h"
 #include "telemetry/telemetry.h"
 
 namespace limpetlink {
 namespace {
 
-LineWriterSettings WriterSettings(const EntryProcessSettings& settings) {
-  const auto wall = std::chrono::duration_cast<std::chrono::nanoseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  const WallClock clock{wall - SteadyNow().time_since_epoch()};
-  return {settings.host.self, settings.log_level, clock};
-}
-
 HttpServerSettings ServerSettings(const EntryProcessSettings& settings) {
   HttpServerSettings server;
   server.listen = settings.listen;
@@ -35,55 +26,6 @@
   return links;
 }
 
-/// The signals that end the process, taken by a thread of their own.
-class EndSignals {
- public:
-  EndSignals() {
-    sigemptyset(&this->set);
-    sigaddset(&this->set, SIGTERM);
-    sigaddset(&this->set, SIGINT);
-    sigaddset(&this->set, SIGUSR1);
-    pthread_sigmask(SIG_BLOCK, &this->set, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-  }
-  ~EndSignals() {
-    if (this->thread.joinable()) {
-      pthread_kill(this->thread.native_handle(), SIGUSR1);
-      this->thread.join();
-    }
-  }
-  EndSignals(const EndSignals&) = delete;
-  EndSignals& operator=(const EndSignals&) = delete;
-
-  void SendTo(CoreLoop* loop) {
-    this->thread = std::thread([this, loop] { this->Wait(loop); });
-  }
-
-  bool EndedAtOnce() const { return this->ended_at_once; }
-
- private:
-  void Wait(CoreLoop* loop) {
-    int signals = 0;
-    while (true) {
-      int number = 0;
-      sigwait(&this->set, &number);
-      if (number == SIGUSR1) {
-        return;
-      }
-      if (++signals == 1) {
-        loop->RequestDrain();
-        continue;
-      }
-      this->ended_at_once = true;
-      loop->RequestStop();
-    }
-  }
-
-  sigset_t set{};
-  std::thread thread;
-  std::atomic<bool> ended_at_once{false};
-};
-
 /// The adapters that carry the core's orders out.
 class EntryAdapters {
  public:
@@ -168,8 +110,9 @@
 }  // namespace
 
 int RunEntryProcess(EntryProcessSettings settings) {
-  EndSignals signals;
-  LineWriter writer(WriterSettings(settings), std::cerr);
+  ProcessSignals signals;
+  LineWriter writer(
+      ProcessWriterSettings(settings.host.self, settings.log_level), std::cerr);
   EntryHost host(settings.host);
   CoreLoop loop(HooksOf(&host));
   EntryAdapters adapters(settings, &loop, &writer);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -5,3 +5,4 @@
 
 #include "placement/detail/controller.h"
 #include "placement/detail/engine.h"
+#include "placement/detail/placement_host.h"
--- /dev/null
+++ b/src/placement/placement_host.cc
@@ -0,0 +1,163 @@
+#include "placement/detail/placement_host.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetlink {
+namespace {
+
+/// How long giving the lease back may take; after that it lapses by itself.
+constexpr Duration kReleaseLimit = std::chrono::seconds(2);
+
+PlatformSettings PlatformSettingsOf(const PlacementHostSettings& settings) {
+  PlatformSettings platform;
+  platform.url = settings.platform_url;
+  platform.seed = StableHash("platform", settings.seed);
+  return platform;
+}
+
+ConfigurationSettings ConfigurationSettingsOf(
+    const PlacementHostSettings& settings) {
+  ConfigurationSettings configuration;
+  configuration.self = settings.self;
+  configuration.fleet_name = settings.fleet_name;
+  configuration.seed = StableHash("configuration", settings.seed);
+  return configuration;
+}
+
+LeaseSettings LeaseSettingsOf(const PlacementHostSettings& settings) {
+  LeaseSettings lease;
+  lease.name =
+      settings.model.empty() ? "placement" : "placement/" + settings.model;
+  lease.holder = settings.self.value + "/" + std::to_string(settings.seed);
+  lease.seed = StableHash("lease", settings.seed);
+  return lease;
+}
+
+PlacementSettings ControllerSettingsOf(const PlacementHostSettings& settings) {
+  PlacementSettings controller;
+  controller.platform_url = settings.platform_url;
+  controller.model = settings.model;
+  controller.seed = StableHash("placement", settings.seed);
+  return controller;
+}
+
+absl::Status Validate(std::string_view text) {
+  const FleetParseResult parsed = ParseFleet(text);
+  if (parsed.Ok()) {
+    return absl::OkStatus();
+  }
+  return MakeStatus(ErrorCode::kFleetInvalid, parsed.faults.front().message);
+}
+
+}  // namespace
+
+PlacementHost::PlacementHost(PlacementHostSettings host_settings)
+    : settings(std::move(host_settings)),
+      platform(PlatformSettingsOf(settings),
+               [this] { return CallId{++this->last_call}; }),
+      configuration(ConfigurationSettingsOf(settings), &platform, Validate),
+      lease(LeaseSettingsOf(settings), &platform),
+      controller(ControllerSettingsOf(settings), WantedOfModel, &lease,
+                 [this] { return CallId{++this->last_call}; }) {}
+
+Actions PlacementHost::Start(Instant at) {
+  this->now = at;
+  this->configuration.Start(at);
+  this->configuration.OnHosts(at, {this->settings.self}, {});
+  this->lease.Start(at);
+  return this->Settle();
+}
+
+Actions PlacementHost::Step(Instant at, const Event& event) {
+  this->now = at;
+  std::visit([this](const auto& content) { this->On(content); }, event);
+  return this->Settle();
+}
+
+Actions PlacementHost::Tick(Instant at) {
+  this->now = at;
+  this->lease.Tick(at);
+  this->configuration.Tick(at);
+  this->controller.Tick(at);
+  this->platform.Tick(at);
+  return this->Settle();
+}
+
+Actions PlacementHost::Drain(Instant at) {
+  this->now = at;
+  if (this->drain_until == kNever) {
+    this->drain_until = at + kReleaseLimit;
+    this->lease.Release(at);
+  }
+  return this->Settle();
+}
+
+Instant PlacementHost::NextWakeup() const {
+  return std::min({this->lease.NextWakeup(), this->configuration.NextWakeup(),
+                   this->controller.NextWakeup(), this->platform.NextWakeup(),
+                   this->drain_until > this->now ? this->drain_until : kNever});
+}
+
+bool PlacementHost::Drained() const {
+  return this->drain_until != kNever && this->now >= this->drain_until;
+}
+
+void PlacementHost::On(const HttpHead& head) {
+  if (!this->platform.OnHead(this->now, head)) {
+    this->controller.OnHead(this->now, head);
+  }
+}
+
+void PlacementHost::On(const HttpChunk& chunk) {
+  if (!this->platform.OnChunk(this->now, chunk)) {
+    this->controller.OnChunk(this->now, chunk);
+  }
+}
+
+void PlacementHost::On(const HttpDone& done) {
+  if (!this->platform.OnDone(this->now, done)) {
+    this->controller.OnDone(this->now, done);
+  }
+}
+
+void PlacementHost::Adopt(const ConfigurationAdopted& adopted) {
+  FleetParseResult parsed = ParseFleet(adopted.text);
+  if (!parsed.Ok()) {
+    return;
+  }
+  this->controller.Configure(this->now, std::make_shared<const FleetDocument>(
+                                            std::move(parsed.document)));
+  this->actions.emplace_back(
+      LogLine{LogLevel::kInfo,
+              "fleet document adopted",
+              {{"version", std::to_string(adopted.version)}}});
+}
+
+Actions PlacementHost::Settle() {
+  for (const PlatformResult& result : this->platform.TakeResults()) {
+    if (!this->lease.OnPlatform(this->now, result)) {
+      this->configuration.OnPlatform(this->now, result);
+    }
+  }
+  for (const ConfigurationAction& action : this->configuration.TakeActions()) {
+    if (const auto* adopted = std::get_if<ConfigurationAdopted>(&action)) {
+      this->Adopt(*adopted);
+    }
+  }
+  for (const LeaseChange& change : this->lease.TakeChanges()) {
+    this->actions.emplace_back(
+        LogLine{LogLevel::kInfo,
+                change.held ? "lease taken" : "lease lost",
+                {{"epoch", std::to_string(change.epoch)}}});
+  }
+  for (Action& action : this->controller.TakeActions()) {
+    this->actions.push_back(std::move(action));
+  }
+  for (Action& action : this->platform.TakeActions()) {
+    this->actions.push_back(std::move(action));
+  }
+  return std::exchange(this->actions, {});
+}
+
+}  // namespace limpetlink
