Name a test parameter alike in declaration and definition

Cause: the linter named SetLive's parameter. Change: the declaration takes the definition's name; the comment says who is told. Conclusion: no change of behaviour.

--- a/src/dispatch/tests/network.h
+++ b/src/dispatch/tests/network.h
@@ -44,8 +44,8 @@
 
   explicit Network(Settings settings);
 
-  /// @brief Tells the hosts who is live; the others are cut off.
-  void SetLive(const std::vector<std::size_t>& hosts);
+  /// @brief Tells the live hosts who is live; the others are cut off.
+  void SetLive(const std::vector<std::size_t>& now_live);
   /// @brief Lets a host's messages vanish, though it stays in the lists.
   void Silence(std::size_t host) { this->silent.insert(host); }
   /// @brief Submits a request whose stream runs for a time.
