Time the first token itself in the relay bench

Cause: the bench took the first bytes of an answer for its first token; a waiting stream's comment came before, and limpet-entry looked faster than the engine. Change: the bench waits for a token; lint of the bench and of FreePort.

--- a/bench/plain_relay.cc
+++ b/bench/plain_relay.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <cstring>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -52,7 +51,7 @@
     return MHD_CONTENT_READER_END_OF_STREAM;
   }
   const std::size_t taken = std::min(max, relay->answer.size());
-  std::memcpy(to, relay->answer.data(), taken);
+  std::copy_n(relay->answer.data(), taken, to);
   relay->answer.erase(0, taken);
   return static_cast<ssize_t>(taken);
 }
--- a/bench/relay.cc
+++ b/bench/relay.cc
@@ -104,7 +104,8 @@
   void Take(const Event& event) {
     if (const auto* const chunk = std::get_if<HttpChunk>(&event)) {
       const std::size_t id = chunk->id.value;
-      if (this->first[id] == Instant{}) {
+      if (this->first[id] == Instant{} &&
+          chunk->bytes.find("\"text\":\" t") != std::string::npos) {
         this->first[id] = SteadyNow();
       }
       if (chunk->bytes.find("\"code\"") != std::string::npos) {
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -76,7 +76,10 @@
 std::uint16_t FreePort() {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const SocketAddress any = *ParseSocketAddress("127.0.0.1:0");
-  bind(descriptor, any.Get(), any.size);
+  if (::bind(descriptor, any.Get(), any.size) != 0) {
+    close(descriptor);
+    return 0;
+  }
   sockaddr_in bound{};
   socklen_t size = sizeof(bound);
   getsockname(descriptor, static_cast<sockaddr*>(static_cast<void*>(&bound)),
