--- a/bench/plain_relay.cc
+++ b/bench/plain_relay.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <cstring>
 #include <iostream>
 #include <memory>
 #include <string>
