Take test ports below those of outgoing connections; ask again where told to

Cause 1: process tests failed now and then with 'cannot listen': the free port came from the range that outgoing connections are given, and one took it before the process did. Two copies of the search stood in tests/. Change: one FreePorts below that range, from another place in each process. Cause 2: scenario order_sent_twice wanted a kept outcome at another host milliseconds after the answer. Ruled out: a second run or a lost outcome (it ran once and was kept). The design answers unknown with Retry-After until the outcome is durable; the caller of the scenario now comes back as told, which is as strict on what it must get in the end. Also: POST /v1/drain for operators; rules are matched by the fleet slice's FindRule alone.

--- a/bench/relay.cc
+++ b/bench/relay.cc
@@ -17,13 +17,14 @@
 
 #include "adapters/adapters.h"
 #include "operators/operators.h"
+#include "tests/ports/free_ports.h"
 #include "tests/process/child_process.h"
 
 namespace limpetlink {
 namespace {
 
 using testing::ChildProcess;
-using testing::FreePort;
+using testing::FreePorts;
 
 constexpr std::chrono::milliseconds kStagger{3};
 
@@ -194,10 +195,10 @@
 int Run(std::size_t count, int length) {
   const std::string bin = std::string(LIMPETLINK_BIN) + "/";
   const std::string log = "/dev/null";
-  const std::string engine_url = "http://" + Address(FreePort());
-  const std::string platform_url = "http://" + Address(FreePort());
-  const std::uint16_t plain_port = FreePort();
-  const std::string entry = Address(FreePort());
+  const std::string engine_url = "http://" + Address(FreePorts(1).front());
+  const std::string platform_url = "http://" + Address(FreePorts(1).front());
+  const std::uint16_t plain_port = FreePorts(1).front();
+  const std::string entry = Address(FreePorts(1).front());
   const ChildProcess engine(
       bin + "limpet-fake-engine",
       {"--listen", engine_url.substr(7), "--step-ms", "27", "--max-running",
@@ -214,7 +215,7 @@
   const ChildProcess host(
       bin + "limpet-entry",
       {"--host-id", "entry-1", "--failure-domain", "perth-a", "--listen", entry,
-       "--peer-address", Address(FreePort()), "--peer-secret",
+       "--peer-address", Address(FreePorts(1).front()), "--peer-secret",
        "secret of the bench", "--resume-secret", "secret of the bench",
        "--platform", platform_url, "--fleet", "demo"},
       log);
--- a/src/entry/detail/service_request.h
+++ b/src/entry/detail/service_request.h
@@ -73,14 +73,6 @@
 ///         name
 absl::StatusOr<ServicePath> ParseServicePath(std::string_view path);
 
-/// @brief Finds the first rule that covers a request.
-/// @param service whose rules
-/// @param method HTTP method
-/// @param path below the service
-/// @return the rule, or nullptr: not idempotent
-const ServiceRule* MatchRule(const Service& service, std::string_view method,
-                             std::string_view path);
-
 /// @brief Percent-encodes a path for a URL; '/' stays.
 std::string EncodePath(std::string_view path);
 
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -27,7 +27,7 @@
                                          draining);
             },
             [this] { return this->cluster.Members().Current(); }),
-        pages(shared, cluster) {
+        pages(shared, cluster, [this] { this->BeginDrain(); }) {
     this->cluster.on_platform_result = [this](const PlatformResult& result) {
       this->services.OnPlatform(result);
     };
@@ -73,10 +73,7 @@
 
   Actions Drain(Instant now) {
     this->shared.now = now;
-    if (!this->shared.draining) {
-      this->shared.draining = true;
-      this->cluster.Leave();
-    }
+    this->BeginDrain();
     return this->Settle();
   }
 
@@ -107,6 +104,13 @@
     }
   }
 
+  void BeginDrain() {
+    if (!this->shared.draining) {
+      this->shared.draining = true;
+      this->cluster.Leave();
+    }
+  }
+
   // ---- Callers ----
 
   void On(const CallerRequest& request) {
--- a/src/entry/operator_pages.cc
+++ b/src/entry/operator_pages.cc
@@ -12,8 +12,9 @@
 
 }  // namespace
 
-OperatorPages::OperatorPages(HostContext& shared, const ClusterFlow& cluster)
-    : shared(shared), cluster(cluster) {}
+OperatorPages::OperatorPages(HostContext& shared, const ClusterFlow& cluster,
+                             std::function<void()> drain)
+    : shared(shared), cluster(cluster), drain(std::move(drain)) {}
 
 bool OperatorPages::Receive(const CallerRequest& request) {
   if (request.path == "/healthz") {
@@ -27,6 +28,8 @@
     this->Status(request.id);
   } else if (request.path == "/v1/requests") {
     this->Requests(request);
+  } else if (request.path == "/v1/drain") {
+    this->Drain(request);
   } else {
     return false;
   }
@@ -67,6 +70,26 @@
   ReplyJson(this->shared.actions, id, 200, status);
 }
 
+void OperatorPages::Drain(const CallerRequest& request) {
+  if (request.method != "POST") {
+    ReplyProblem(this->shared.actions, request.id,
+                 {ErrorCode::kRequestMethodNotAllowed,
+                  Outcome::kNotRun,
+                  "use POST",
+                  {}});
+  } else if (!IsOperator(this->shared.settings.operator_key_digest,
+                         request.headers)) {
+    ReplyProblem(this->shared.actions, request.id,
+                 {ErrorCode::kRequestWrongKey,
+                  Outcome::kNotRun,
+                  "send the operators' key",
+                  {}});
+  } else {
+    this->drain();
+    ReplyJson(this->shared.actions, request.id, 202, {{"draining", true}});
+  }
+}
+
 void OperatorPages::Requests(const CallerRequest& request) {
   std::optional<OrganisationId> only;
   if (!IsOperator(this->shared.settings.operator_key_digest, request.headers)) {
--- a/src/entry/service_flow.cc
+++ b/src/entry/service_flow.cc
@@ -122,7 +122,7 @@
   if (!wait.ok()) {
     return wait.status();
   }
-  const ServiceRule* rule = MatchRule(*service, request.method, path->rest);
+  const ServiceRule* rule = FindRule(*service, request.method, path->rest);
   ServiceRequest kept;
   kept.id = request.id;
   kept.organisation = (*organisation)->id;
--- a/src/entry/service_request.cc
+++ b/src/entry/service_request.cc
@@ -27,15 +27,6 @@
   return false;
 }
 
-bool Covers(std::string_view prefix, std::string_view path) {
-  if (path.substr(0, prefix.size()) != prefix) {
-    return false;
-  }
-  const bool whole =
-      path.size() == prefix.size() || prefix.empty() || prefix.back() == '/';
-  return whole || path[prefix.size()] == '/';
-}
-
 }  // namespace
 
 absl::StatusOr<ServicePath> ParseServicePath(std::string_view path) {
@@ -60,17 +51,6 @@
   return parts;
 }
 
-const ServiceRule* MatchRule(const Service& service, std::string_view method,
-                             std::string_view path) {
-  for (const ServiceRule& rule : service.rules) {
-    const bool method_fits = rule.method == "*" || rule.method == method;
-    if (method_fits && Covers(rule.path_prefix, path)) {
-      return &rule;
-    }
-  }
-  return nullptr;
-}
-
 std::string EncodePath(std::string_view path) {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
   constexpr std::string_view kPlain = "/-._~!$&'()*+,;=:@";
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -73,19 +73,4 @@
   return this->pid > 0;
 }
 
-std::uint16_t FreePort() {
-  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const SocketAddress any = *ParseSocketAddress("127.0.0.1:0");
-  if (::bind(descriptor, any.Get(), any.size) != 0) {
-    close(descriptor);
-    return 0;
-  }
-  sockaddr_in bound{};
-  socklen_t size = sizeof(bound);
-  getsockname(descriptor, static_cast<sockaddr*>(static_cast<void*>(&bound)),
-              &size);
-  close(descriptor);
-  return ntohs(bound.sin_port);
-}
-
 }  // namespace limpetlink::testing
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -42,7 +42,4 @@
   int exit_code = -1;
 };
 
-/// @brief Finds a loopback port that nobody listens on now.
-std::uint16_t FreePort();
-
 }  // namespace limpetlink::testing
--- a/tests/process/fleet_fixture.cc
+++ b/tests/process/fleet_fixture.cc
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <thread>
 
+#include "tests/ports/free_ports.h"
+
 namespace limpetlink::testing {
 namespace {
 
@@ -51,7 +53,7 @@
   if (found != this->ports.end()) {
     return found->second;
   }
-  return this->ports[name] = FreePort();
+  return this->ports[name] = FreePorts(1).front();
 }
 
 std::unique_ptr<ChildProcess> FleetFixture::Start(
--- a/tests/scenario/caller.cc
+++ b/tests/scenario/caller.cc
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include <chrono>
 #include <utility>
 
 #include "fakes/fake_engine_events.h"
@@ -124,7 +125,7 @@
   return !this->hung_up;
 }
 
-void Caller::Run(const CallerCall& call) {
+void Caller::RunOnce(const CallerCall& call) {
   CURL* handle = curl_easy_init();
   curl_slist* headers = curl_slist_append(nullptr, "Expect:");
   for (const Header& header : call.headers) {
@@ -141,6 +142,32 @@
   this->Finish(status, connected);
 }
 
+void Caller::Run(const CallerCall& call) {
+  this->RunOnce(call);
+  while (call.comes_back && !this->HungUp()) {
+    const std::optional<double> wait = this->ToldToComeBack();
+    if (!wait) {
+      return;
+    }
+    std::this_thread::sleep_for(std::chrono::duration<double>(*wait));
+    this->RunOnce(call);
+  }
+}
+
+std::optional<double> Caller::ToldToComeBack() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const Json& problem = this->view.problem;
+  const bool unknown = problem.is_object() &&
+                       problem.value("outcome", "") == "unknown" &&
+                       problem.contains("retry_after");
+  if (!unknown) {
+    return std::nullopt;
+  }
+  const double wait = problem["retry_after"].get<double>();
+  this->view = CallerView();
+  return wait;
+}
+
 void Caller::OnEvent(const SseEvent& event) {
   if (event.data == "[DONE]") {
     this->view.done = true;
--- a/tests/scenario/caller.h
+++ b/tests/scenario/caller.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -31,6 +32,8 @@
   std::string body;
   std::vector<std::string> tokens;  ///< delivered already, of a stream that
                                     ///< this call takes up
+  bool comes_back =
+      false;  ///< asks again while told to and the outcome is unknown
 };
 
 /// @brief What a caller has got so far.
@@ -71,8 +74,10 @@
 
  private:
   void Run(const CallerCall& call);
+  void RunOnce(const CallerCall& call);
   void OnEvent(const SseEvent& event);
   void Finish(int status, bool connected);
+  std::optional<double> ToldToComeBack();
 
   mutable std::mutex mutex;
   CallerView view;
--- a/tests/scenario/process.cc
+++ b/tests/scenario/process.cc
@@ -38,27 +38,6 @@
   _exit(kExecFailed);
 }
 
-/// Binds to any free port; the caller closes the socket.
-int BindAnyPort(std::uint16_t* port) {
-  const int socket_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (socket_fd < 0) {
-    return -1;
-  }
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  socklen_t size = sizeof(address);
-  const bool bound = bind(socket_fd, generic, size) == 0 &&
-                     getsockname(socket_fd, generic, &size) == 0;
-  if (!bound) {
-    close(socket_fd);
-    return -1;
-  }
-  *port = ntohs(address.sin_port);
-  return socket_fd;
-}
-
 }  // namespace
 
 Process::Process(std::vector<std::string> command, std::string log)
@@ -125,21 +104,4 @@
       WIFEXITED(state) ? WEXITSTATUS(state) : kSignalBase + WTERMSIG(state);
 }
 
-std::vector<std::uint16_t> FreePorts(std::size_t count) {
-  std::vector<std::uint16_t> ports;
-  std::vector<int> sockets;
-  for (std::size_t i = 0; i < count; ++i) {
-    std::uint16_t port = 0;
-    const int socket_fd = BindAnyPort(&port);
-    if (socket_fd >= 0) {
-      sockets.push_back(socket_fd);
-      ports.push_back(port);
-    }
-  }
-  for (const int socket_fd : sockets) {
-    close(socket_fd);
-  }
-  return ports;
-}
-
 }  // namespace limpetlink::scenario
--- a/tests/scenario/process.h
+++ b/tests/scenario/process.h
@@ -49,9 +49,4 @@
   std::optional<int> exit_code;
 };
 
-/// @brief Finds ports of the loopback address that are free now.
-/// @param count how many are wanted
-/// @return different ports; fewer when the system has no more
-std::vector<std::uint16_t> FreePorts(std::size_t count);
-
 }  // namespace limpetlink::scenario
--- a/tests/scenario/real_fleet.cc
+++ b/tests/scenario/real_fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "tests/ports/free_ports.h"
 
 namespace limpetlink::scenario {
 namespace {
@@ -111,7 +112,7 @@
 void RealFleet::AddMembers(const Topology& topology) {
   const std::size_t count =
       1 + topology.engines + topology.services + 2 * topology.entries;
-  const std::vector<std::uint16_t> ports = FreePorts(count);
+  const std::vector<std::uint16_t> ports = testing::FreePorts(count);
   std::size_t next = 0;
   this->AddMember(Role::kPlatform, 0, ports.at(next++), 0);
   for (std::uint32_t i = 1; i <= topology.engines; ++i) {
@@ -380,6 +381,7 @@
     call.tokens = earlier.tokens;
     call.headers.push_back({"Last-Event-ID", earlier.last_event_id});
   }
+  call.comes_back = step.comes_back;
   this->calls[step.name] = step;
   this->callers[step.name] = std::make_unique<Caller>(std::move(call));
 }
--- a/tests/scenario/scenario.cc
+++ b/tests/scenario/scenario.cc
@@ -71,6 +71,7 @@
   call.headers = reader->Object("headers");
   call.body = reader->Value().value("body", Json());
   call.continues = reader->Text("continues");
+  call.comes_back = reader->Value().value("comes_back", false);
   if (call.method.empty()) {
     call.method = "POST";
   }
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -53,6 +53,8 @@
   nlohmann::json headers = nlohmann::json::object();
   nlohmann::json body;
   std::string continues;  ///< call whose stream is taken up; empty: none
+  bool comes_back =
+      false;  ///< asks again, as Retry-After says, while the outcome is unknown
 };
 
 /// @brief Puts a changed fleet document in force; runs in the background.
