Parse an adopted document once

Ruled out: keeping documents out of the check; the store must judge before it adopts. Change: the flow keeps the document that it last found valid and adopts that one.

--- /dev/null
+++ b/bench/fleet_document.cc
@@ -0,0 +1,112 @@
+// Measures the fleet document at the target's size: bytes, time to parse and to
+// write, and the memory of one that is held.
+#include <malloc.h>
+
+#include <chrono>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "fleet/fleet.h"
+
+namespace limpetlink::bench {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kFailureDomains = 9;
+constexpr std::size_t kModels = 8;
+constexpr std::size_t kOrganisations = 230;
+
+double MillisecondsSince(Clock::time_point start) {
+  return std::chrono::duration<double, std::milli>(Clock::now() - start)
+      .count();
+}
+
+FleetDocument MakeFleet(std::size_t upstreams) {
+  FleetDocument fleet;
+  fleet.name = "fleet";
+  fleet.change_id = "change";
+  fleet.author = "bench";
+  for (std::size_t i = 0; i < kFailureDomains; ++i) {
+    fleet.failure_domains.push_back(
+        {{"domain-" + std::to_string(i)}, "region-" + std::to_string(i / 3)});
+  }
+  for (std::size_t i = 0; i < kOrganisations; ++i) {
+    Organisation organisation;
+    organisation.id = {"organisation-" + std::to_string(i)};
+    organisation.key_digests = {Sha256Hex(std::to_string(i))};
+    fleet.organisations.push_back(organisation);
+  }
+  for (std::size_t i = 0; i < kModels; ++i) {
+    const std::string name = "model-" + std::to_string(i);
+    fleet.models.push_back({name, "1", {}, 32768});
+    Route route;
+    route.name = "drafts-" + std::to_string(i);
+    route.model = name;
+    fleet.routes.push_back(route);
+  }
+  for (std::size_t i = 0; i < upstreams; ++i) {
+    Upstream upstream;
+    upstream.id = {"engine-" + std::to_string(i)};
+    upstream.serves = "model-" + std::to_string(i % kModels);
+    upstream.url = "http://10." + std::to_string(i / 250 % 250) + "." +
+                   std::to_string(i % 250) + ".7:8000";
+    upstream.failure_domain = {"domain-" + std::to_string(i % kFailureDomains)};
+    fleet.upstreams.push_back(upstream);
+  }
+  return fleet;
+}
+
+nlohmann::json Measure(std::size_t upstreams) {
+  constexpr int kTimes = 5;
+  const FleetDocument fleet = MakeFleet(upstreams);
+  std::string text;
+  const Clock::time_point writing = Clock::now();
+  for (int i = 0; i < kTimes; ++i) {
+    text = WriteFleet(fleet);
+  }
+  const double write_ms = MillisecondsSince(writing) / kTimes;
+  std::size_t faults = 0;
+  const Clock::time_point parsing = Clock::now();
+  for (int i = 0; i < kTimes; ++i) {
+    faults += ParseFleet(text).faults.size();
+  }
+  const double parse_ms = MillisecondsSince(parsing) / kTimes;
+  const std::size_t before = mallinfo2().uordblks;
+  const FleetParseResult held = ParseFleet(text);
+  const std::size_t heap = mallinfo2().uordblks - before;
+  return {{"upstreams", held.document.upstreams.size()},
+          {"faults", faults},
+          {"bytes", text.size()},
+          {"write_ms", write_ms},
+          {"parse_ms", parse_ms},
+          {"heap_bytes", heap}};
+}
+
+}  // namespace
+}  // namespace limpetlink::bench
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("limpet-bench-document",
+                           "The fleet document at several sizes");
+  options.add_options()("json", "File for the results",
+                        cxxopts::value<std::string>()->default_value(""))(
+      "help", "Print this help");
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  nlohmann::json rows = nlohmann::json::array();
+  for (const std::size_t upstreams : {24UL, 720UL, 6500UL}) {
+    rows.push_back(limpetlink::bench::Measure(upstreams));
+    std::cout << rows.back().dump() << std::endl;
+  }
+  const auto file = parsed["json"].as<std::string>();
+  if (!file.empty()) {
+    std::ofstream(file) << rows.dump(2) << '\n';
+  }
+  return 0;
+}
--- a/src/entry/cluster_flow.cc
+++ b/src/entry/cluster_flow.cc
@@ -44,16 +44,6 @@
                       upstream.value);
 }
 
-absl::Status Validate(std::string_view text) {
-  const FleetParseResult parsed = ParseFleet(text);
-  if (parsed.Ok()) {
-    return absl::OkStatus();
-  }
-  const FleetFault& first = parsed.faults.front();
-  return MakeStatus(ErrorCode::kFleetInvalid,
-                    first.pointer + ": " + first.message);
-}
-
 }  // namespace
 
 ClusterFlow::ClusterFlow(HostContext& shared)
@@ -62,8 +52,9 @@
                [&shared] {
                  return shared.calls.Open({CallPurpose::kPlatform, {}, {}});
                }),
-      configuration(ConfigurationSettingsOf(shared.settings), &platform,
-                    Validate),
+      configuration(
+          ConfigurationSettingsOf(shared.settings), &platform,
+          [this](std::string_view text) { return this->Validate(text); }),
       membership(MembershipSettingsOf(shared.settings), &platform) {}
 
 void ClusterFlow::Start() {
@@ -264,13 +255,26 @@
   }
 }
 
+absl::Status ClusterFlow::Validate(std::string_view text) {
+  FleetParseResult parsed = ParseFleet(text);
+  if (!parsed.Ok()) {
+    const FleetFault& first = parsed.faults.front();
+    return MakeStatus(ErrorCode::kFleetInvalid,
+                      first.pointer + ": " + first.message);
+  }
+  this->validated_text.assign(text.data(), text.size());
+  this->validated =
+      std::make_shared<const FleetDocument>(std::move(parsed.document));
+  return absl::OkStatus();
+}
+
 void ClusterFlow::Adopt(const ConfigurationAdopted& adopted) {
-  FleetParseResult parsed = ParseFleet(adopted.text);
-  if (!parsed.Ok() || adopted.version <= this->shared.fleet_version) {
+  const bool known =
+      adopted.text == this->validated_text || this->Validate(adopted.text).ok();
+  if (!known || adopted.version <= this->shared.fleet_version) {
     return;
   }
-  this->shared.document =
-      std::make_shared<const FleetDocument>(std::move(parsed.document));
+  this->shared.document = this->validated;
   this->shared.fleet_version = adopted.version;
   this->shared.metrics.Add(Counter::kDocumentsAdopted);
   this->shared.actions.emplace_back(
--- a/src/entry/detail/cluster_flow.h
+++ b/src/entry/detail/cluster_flow.h
@@ -93,12 +93,16 @@
   void OnLiveHosts(const LiveHostsChanged& change);
   void OnHostList(const HostListRead& list);
   void OnBroadcast(const Broadcast& item);
+  absl::Status Validate(std::string_view text);
   void Adopt(const ConfigurationAdopted& adopted);
   void SendToPeer(const HostId& to, PeerKind kind, std::string payload);
   void SetLeaving(const UpstreamId& upstream, LeavingSource source,
                   bool leaves);
 
   HostContext& shared;
+  std::string
+      validated_text;  ///< last document that was found valid, kept parsed
+  std::shared_ptr<const FleetDocument> validated;
   PlatformClient platform;
   ConfigurationStore configuration;
   Membership membership;
