--- a/tests/process/fleet_fixture.cc
+++ b/tests/process/fleet_fixture.cc
@@ -69,6 +69,14 @@
   REQUIRE(Until([&] { return this->caller.Call("GET", url).status == 200; }));
 }
 
+void FleetFixture::StartPlacement(int number) {
+  const std::string name = "placement-" + std::to_string(number);
+  this->placements[number] =
+      this->Start("limpet-placement", name,
+                  {"--host-id", name, "--platform", this->PlatformUrl(""),
+                   "--fleet", this->document["name"].get<std::string>()});
+}
+
 void FleetFixture::StartPlatform() {
   this->platform =
       this->Start("limpet-fake-platform", "platform",
--- a/tests/process/fleet_fixture.h
+++ b/tests/process/fleet_fixture.h
@@ -93,6 +93,10 @@
   /// @param number 1 or 2
   void StartEntry(int number);
 
+  /// @brief Starts a placement host.
+  /// @param number names it
+  void StartPlacement(int number);
+
   /// @brief Starts a stand-in again on its old port.
   void StartPlatform();
   void StartEngine(int number);
@@ -125,6 +129,7 @@
   std::map<int, std::unique_ptr<ChildProcess>> engines;
   std::unique_ptr<ChildProcess> service;
   std::map<int, std::unique_ptr<ChildProcess>> entries;
+  std::map<int, std::unique_ptr<ChildProcess>> placements;
 
  private:
   std::unique_ptr<ChildProcess> Start(const std::string& program,
