--- a/src/entry/cluster_flow.cc
+++ b/src/entry/cluster_flow.cc
@@ -32,6 +32,7 @@
   MembershipSettings membership;
   membership.self = settings.self;
   membership.address = settings.peer_address;
+  membership.failure_domain = settings.failure_domain;
   membership.boot = settings.seed;
   membership.seed = StableHash("membership", settings.seed);
   return membership;
@@ -182,6 +183,7 @@
                            ShareOfLimits(PlatformLimits{}, change.live.size()));
   SetHosts hosts;
   hosts.live = change.live;
+  hosts.failure_domains = change.failure_domains;
   this->shared.Dispatch(hosts);
   this->on_change();
 }
@@ -257,10 +259,9 @@
 
 absl::Status ClusterFlow::Validate(std::string_view text) {
   FleetParseResult parsed = ParseFleet(text);
-  if (!parsed.Ok()) {
-    const FleetFault& first = parsed.faults.front();
-    return MakeStatus(ErrorCode::kFleetInvalid,
-                      first.pointer + ": " + first.message);
+  const absl::Status status = StatusOf(parsed);
+  if (!status.ok()) {
+    return status;
   }
   this->validated_text.assign(text.data(), text.size());
   this->validated =
--- a/src/entry/completion_body.cc
+++ b/src/entry/completion_body.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "entry/detail/reply.h"
+
 namespace limpetlink {
 namespace {
 
@@ -87,10 +89,6 @@
   return choice;
 }
 
-std::string DumpLine(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 std::string RenderChunk(const AnswerHeader& header, std::string_view text,
                         std::string_view finish_reason) {
   const bool chat = header.kind == CompletionKind::kChat;
@@ -100,7 +98,7 @@
       {"model", header.model},
       {"choices",
        json::array({ChunkChoice(header.kind, text, finish_reason)})}};
-  return DumpLine(chunk);
+  return DumpJson(chunk);
 }
 
 }  // namespace
@@ -159,7 +157,7 @@
 
 std::string ChunkWriter::Token(std::string_view text) const {
   std::string chunk = this->before_text;
-  chunk += DumpLine(json(text));
+  chunk += DumpJson(json(text));
   chunk += this->after_text;
   return chunk;
 }
@@ -188,7 +186,7 @@
                         {{"prompt_tokens", prompt_tokens},
                          {"completion_tokens", output_tokens},
                          {"total_tokens", prompt_tokens + output_tokens}}}};
-  return DumpLine(answer);
+  return DumpJson(answer);
 }
 
 }  // namespace limpetlink
--- a/src/entry/detail/reply.h
+++ b/src/entry/detail/reply.h
@@ -28,6 +28,9 @@
 ///        to come back.
 void ReplyProblem(Actions& actions, RequestId id, const Problem& problem);
 
+/// @brief Writes JSON on one line; bytes that are no UTF-8 are replaced.
+std::string DumpJson(const nlohmann::json& value);
+
 /// @brief Gives the value of a Retry-After header.
 /// @param wait how long to wait
 /// @return whole seconds, rounded up, at least 1
--- a/src/entry/reply.cc
+++ b/src/entry/reply.cc
@@ -15,9 +15,7 @@
 
 void ReplyJson(Actions& actions, RequestId id, int status,
                const nlohmann::json& body) {
-  ReplyWhole(
-      actions, id, status, "application/json",
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  ReplyWhole(actions, id, status, "application/json", DumpJson(body));
 }
 
 void ReplyProblem(Actions& actions, RequestId id, const Problem& problem) {
@@ -34,6 +32,10 @@
   actions.push_back(ReplyEnd{id, false});
 }
 
+std::string DumpJson(const nlohmann::json& value) {
+  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string RetryAfterText(Duration wait) {
   constexpr Duration kSecond = std::chrono::seconds(1);
   const auto seconds = (wait + kSecond - Duration(1)) / kSecond;
--- a/src/fleet/detail/parse.h
+++ b/src/fleet/detail/parse.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "fleet/detail/document.h"
 
 namespace limpetlink {
@@ -45,6 +46,10 @@
   kIndented,  ///< one member a line, for version control
 };
 
+/// @brief Says whether a document is valid, for callers that need no list.
+/// @return ok, or fleet.102 with the first fault
+absl::Status StatusOf(const FleetParseResult& parsed);
+
 /// @brief Writes a document as JSON with a fixed order of members.
 /// @param document a valid document
 /// @param layout one line, or one member a line
--- a/src/fleet/parse.cc
+++ b/src/fleet/parse.cc
@@ -74,4 +74,13 @@
   return result;
 }
 
+absl::Status StatusOf(const FleetParseResult& parsed) {
+  if (parsed.Ok()) {
+    return absl::OkStatus();
+  }
+  const FleetFault& first = parsed.faults.front();
+  return MakeStatus(ErrorCode::kFleetInvalid,
+                    first.pointer + ": " + first.message);
+}
+
 }  // namespace limpetlink
--- a/src/membership/detail/member.h
+++ b/src/membership/detail/member.h
@@ -30,9 +30,10 @@
 /// @brief One host's record, as it spreads.
 struct Member {
   HostId id;
-  std::string address;            ///< "ip:port"
-  std::uint64_t boot = 0;         ///< differs for each start of the process
-  std::uint64_t incarnation = 0;  ///< raised only by the host itself
+  std::string address;             ///< "ip:port"
+  FailureDomainId failure_domain;  ///< where it stands
+  std::uint64_t boot = 0;          ///< differs for each start of the process
+  std::uint64_t incarnation = 0;   ///< raised only by the host itself
   MemberState state = MemberState::kAlive;
 };
 
--- a/src/membership/detail/membership.h
+++ b/src/membership/detail/membership.h
@@ -22,8 +22,9 @@
 /// @brief What a membership is built with.
 struct MembershipSettings {
   HostId self;
-  std::string address;     ///< "ip:port" at which peers reach this host
-  std::uint64_t boot = 1;  ///< differs for each start of the process
+  std::string address;             ///< "ip:port" at which peers reach this host
+  FailureDomainId failure_domain;  ///< where this host stands
+  std::uint64_t boot = 1;          ///< differs for each start of the process
   std::vector<std::pair<HostId, std::string>> seeds;  ///< known peers, may be
                                                       ///< empty
   Duration probe_interval{std::chrono::seconds(1)};
@@ -53,7 +54,9 @@
 
 /// @brief The live hosts or this host's neighbours changed.
 struct LiveHostsChanged {
-  std::vector<HostId> live;        ///< sorted, with this host
+  std::vector<HostId> live;  ///< sorted, with this host
+  std::vector<FailureDomainId>
+      failure_domains;             ///< of the live, in their order
   std::vector<HostId> neighbours;  ///< sorted, without this host
 };
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -25,6 +25,7 @@
       live{this->settings.self} {
   this->self.id = this->settings.self;
   this->self.address = this->settings.address;
+  this->self.failure_domain = this->settings.failure_domain;
   this->self.boot = this->settings.boot;
   this->self.incarnation = 1;
 }
@@ -319,7 +320,13 @@
   const std::vector<HostId> before = this->live;
   this->Rebuild();
   if (this->live != before) {
-    this->actions.emplace_back(LiveHostsChanged{this->live, this->neighbours});
+    LiveHostsChanged change{this->live, {}, this->neighbours};
+    for (const HostId& host : this->live) {
+      const std::optional<Member> member = this->Find(host);
+      change.failure_domains.push_back(member ? member->failure_domain
+                                              : FailureDomainId{});
+    }
+    this->actions.emplace_back(std::move(change));
   }
 }
 
--- a/src/membership/messages.cc
+++ b/src/membership/messages.cc
@@ -34,10 +34,11 @@
 bool ReadMember(const Json& row, Member* member) {
   std::uint64_t state = 0;
   const bool shape =
-      row.is_array() && row.size() == 5 &&
+      row.is_array() && row.size() == 6 &&
       ReadText(row[0], &member->id.value) &&
       ReadText(row[1], &member->address) && ReadNumber(row[2], &member->boot) &&
-      ReadNumber(row[3], &member->incarnation) && ReadNumber(row[4], &state);
+      ReadNumber(row[3], &member->incarnation) && ReadNumber(row[4], &state) &&
+      ReadText(row[5], &member->failure_domain.value);
   if (!shape || member->id.value.empty() ||
       state > static_cast<std::uint64_t>(MemberState::kLeft)) {
     return false;
@@ -109,7 +110,8 @@
   for (const Member& member : message.members) {
     members.push_back(Json::array({member.id.value, member.address, member.boot,
                                    member.incarnation,
-                                   static_cast<std::uint64_t>(member.state)}));
+                                   static_cast<std::uint64_t>(member.state),
+                                   member.failure_domain.value}));
   }
   Json broadcasts = Json::array();
   for (const Broadcast& item : message.broadcasts) {
--- a/src/placement/placement_host.cc
+++ b/src/placement/placement_host.cc
@@ -42,21 +42,15 @@
   return controller;
 }
 
-absl::Status Validate(std::string_view text) {
-  const FleetParseResult parsed = ParseFleet(text);
-  if (parsed.Ok()) {
-    return absl::OkStatus();
-  }
-  return MakeStatus(ErrorCode::kFleetInvalid, parsed.faults.front().message);
-}
-
 }  // namespace
 
 PlacementHost::PlacementHost(PlacementHostSettings host_settings)
     : settings(std::move(host_settings)),
       platform(PlatformSettingsOf(settings),
                [this] { return CallId{++this->last_call}; }),
-      configuration(ConfigurationSettingsOf(settings), &platform, Validate),
+      configuration(
+          ConfigurationSettingsOf(settings), &platform,
+          [](std::string_view text) { return StatusOf(ParseFleet(text)); }),
       lease(LeaseSettingsOf(settings), &platform),
       controller(ControllerSettingsOf(settings), WantedOfModel, &lease,
                  [this] { return CallId{++this->last_call}; }) {}
