--- a/src/entry/cluster_flow.cc
+++ b/src/entry/cluster_flow.cc
@@ -259,7 +259,7 @@
 
 absl::Status ClusterFlow::Validate(std::string_view text) {
   FleetParseResult parsed = ParseFleet(text);
-  const absl::Status status = StatusOf(parsed);
+  absl::Status status = StatusOf(parsed);
   if (!status.ok()) {
     return status;
   }
--- a/src/placement/detail/placement_host.h
+++ b/src/placement/detail/placement_host.h
@@ -39,13 +39,13 @@
   explicit PlacementHost(PlacementHostSettings settings);
 
   /// @brief Begins to read the document and to take the lease.
-  Actions Start(Instant now);
+  Actions Start(Instant at);
   /// @brief Takes an event of an HTTP call; others are ignored.
-  Actions Step(Instant now, const Event& event);
+  Actions Step(Instant at, const Event& event);
   /// @brief Lets time pass.
-  Actions Tick(Instant now);
+  Actions Tick(Instant at);
   /// @brief Gives the lease back.
-  Actions Drain(Instant now);
+  Actions Drain(Instant at);
   /// @return when Tick is due at the latest
   Instant NextWakeup() const;
   /// @return whether Drain was called and the lease is given back, or can't be
