--- a/cmake/limpetlink.cmake
+++ b/cmake/limpetlink.cmake
@@ -68,6 +68,10 @@
   add_executable(${name}_test ${ARG_SOURCES})
   target_include_directories(${name}_test PRIVATE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
   target_link_libraries(${name}_test PRIVATE ${ARG_DEPS} limpetlink_catch_main limpetlink_options)
+  if(NOT TARGET tests_${ARG_LABEL})
+    add_custom_target(tests_${ARG_LABEL})  # builds the test programs of a label
+  endif()
+  add_dependencies(tests_${ARG_LABEL} ${name}_test)
   catch_discover_tests(${name}_test TEST_PREFIX "${name}: "
     PROPERTIES LABELS ${ARG_LABEL} TIMEOUT 300)
 endfunction()
