Withdraw a request from the dispatcher when its deadline is reached

Cause: found in reading. A completion given up at its deadline while it waited was left to the dispatcher's own deadline; a place decided for a request that was answered meanwhile would have stayed taken; a claim that the log answers while its caller leaves was used after its end. Ruled out: a failing run; none was seen, the dispatcher drops what is past its deadline by itself. Change: the flow withdraws the request at once, an unowned place is given back, the claim is looked up again.

--- a/src/entry/completion_flow.cc
+++ b/src/entry/completion_flow.cc
@@ -290,6 +290,7 @@
 void CompletionFlow::OnDeadline(RequestId id) {
   Completion& completion = this->completions.at(id);
   this->shared.metrics.Add(Counter::kDeadlinesReached);
+  this->Unplace(completion, PlacementEnd::kCancelled);
   const Duration retry_after =
       std::max(completion.expected_wait, kRetryAfterDeadline);
   this->Advance(
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -278,6 +278,10 @@
       this->completions.OnPlace(place);
     } else if (this->services.Owns(place.request)) {
       this->services.OnPlace(place);
+    } else {
+      // Answered meanwhile: the worker's place is free again.
+      this->shared.Dispatch(
+          ReportEnded{place.request, PlacementEnd::kCancelled, 0});
     }
   }
 
--- a/src/entry/service_flow.cc
+++ b/src/entry/service_flow.cc
@@ -262,6 +262,9 @@
   }
   if (request.claiming) {
     this->StepLog(AbandonClaim{id});
+    if (!this->Owns(id)) {
+      return;  // the log answered it
+    }
   }
   this->DropLegs(request, PlacementEnd::kCancelled);
   this->RecordEnd(request);
