--- a/bench/entry_slopes.cc
+++ b/bench/entry_slopes.cc
@@ -5,14 +5,12 @@
 
 #include <chrono>
 #include <ctime>
-#include <cxxopts.hpp>
-#include <fstream>
-#include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "bench/report.h"
 #include "entry/entry.h"
 #include "streams/streams.h"
 
@@ -260,26 +258,16 @@
 }  // namespace limpetlink::bench
 
 int main(int argc, char** argv) {
+  using limpetlink::bench::TakeRow;
   cxxopts::Options options("limpet-bench-entry",
                            "Costs of one entry host's core");
-  options.add_options()("json", "File for the results",
-                        cxxopts::value<std::string>()->default_value(""))(
-      "help", "Print this help");
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
-    return 0;
-  }
-  nlohmann::json rows = nlohmann::json::array();
-  for (const std::size_t streams : {50UL, 330UL, 1000UL}) {
-    for (const std::size_t organisations : {10UL, 230UL}) {
-      rows.push_back(limpetlink::bench::Measure(streams, organisations, 200));
-      std::cout << rows.back().dump() << std::endl;
+  const auto measure = [](const cxxopts::ParseResult& /*parsed*/,
+                          const TakeRow& take) {
+    for (const std::size_t streams : {50UL, 330UL, 1000UL}) {
+      for (const std::size_t organisations : {10UL, 230UL}) {
+        take(limpetlink::bench::Measure(streams, organisations, 200));
+      }
     }
-  }
-  const auto file = parsed["json"].as<std::string>();
-  if (!file.empty()) {
-    std::ofstream(file) << rows.dump(2) << '\n';
-  }
-  return 0;
+  };
+  return limpetlink::bench::RunReport(std::move(options), argc, argv, measure);
 }
--- a/bench/fleet_document.cc
+++ b/bench/fleet_document.cc
@@ -3,11 +3,9 @@
 #include <malloc.h>
 
 #include <chrono>
-#include <cxxopts.hpp>
-#include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "bench/report.h"
 #include "fleet/fleet.h"
 
 namespace limpetlink::bench {
@@ -89,24 +87,14 @@
 }  // namespace limpetlink::bench
 
 int main(int argc, char** argv) {
+  using limpetlink::bench::TakeRow;
   cxxopts::Options options("limpet-bench-document",
                            "The fleet document at several sizes");
-  options.add_options()("json", "File for the results",
-                        cxxopts::value<std::string>()->default_value(""))(
-      "help", "Print this help");
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
-    return 0;
-  }
-  nlohmann::json rows = nlohmann::json::array();
-  for (const std::size_t upstreams : {24UL, 720UL, 6500UL}) {
-    rows.push_back(limpetlink::bench::Measure(upstreams));
-    std::cout << rows.back().dump() << std::endl;
-  }
-  const auto file = parsed["json"].as<std::string>();
-  if (!file.empty()) {
-    std::ofstream(file) << rows.dump(2) << '\n';
-  }
-  return 0;
+  const auto measure = [](const cxxopts::ParseResult& /*parsed*/,
+                          const TakeRow& take) {
+    for (const std::size_t upstreams : {24UL, 720UL, 6500UL}) {
+      take(limpetlink::bench::Measure(upstreams));
+    }
+  };
+  return limpetlink::bench::RunReport(std::move(options), argc, argv, measure);
 }
--- a/bench/fleet_slopes.cc
+++ b/bench/fleet_slopes.cc
@@ -3,11 +3,9 @@
 // processor time, idle and under requests. One thread and virtual time; the
 // fakes' own time is not told apart from the cores', so it is an upper bound.
 #include <ctime>
-#include <cxxopts.hpp>
-#include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "bench/report.h"
 #include "tests/core/world.h"
 
 namespace limpetlink::bench {
@@ -116,31 +114,20 @@
 }  // namespace limpetlink::bench
 
 int main(int argc, char** argv) {
+  using limpetlink::bench::TakeRow;
   cxxopts::Options options("limpet-bench-fleet",
                            "Control costs of composed entry host cores");
   options.add_options()(
       "hosts", "Fleet sizes",
       cxxopts::value<std::vector<std::size_t>>()->default_value("6,24,60"))(
       "requests", "Requests a second at each host; 0 for idle only",
-      cxxopts::value<double>()->default_value("5"))(
-      "json", "File for the results",
-      cxxopts::value<std::string>()->default_value(""))("help",
-                                                        "Print this help");
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
-    return 0;
-  }
-  nlohmann::json rows = nlohmann::json::array();
-  for (const std::size_t hosts :
-       parsed["hosts"].as<std::vector<std::size_t>>()) {
-    rows.push_back(
-        limpetlink::bench::Measure(hosts, parsed["requests"].as<double>()));
-    std::cout << rows.back().dump() << std::endl;
-  }
-  const auto file = parsed["json"].as<std::string>();
-  if (!file.empty()) {
-    std::ofstream(file) << rows.dump(2) << '\n';
-  }
-  return 0;
+      cxxopts::value<double>()->default_value("5"));
+  const auto measure = [](const cxxopts::ParseResult& parsed,
+                          const TakeRow& take) {
+    for (const std::size_t hosts :
+         parsed["hosts"].as<std::vector<std::size_t>>()) {
+      take(limpetlink::bench::Measure(hosts, parsed["requests"].as<double>()));
+    }
+  };
+  return limpetlink::bench::RunReport(std::move(options), argc, argv, measure);
 }
