Prove the second copy of a slow lookup, and the single one of an order, on whole hosts

Cause: hedging was wired into the service flow and no case of the composed host showed it. Change: a lookup whose upstream hangs is answered by the other one; an order whose upstreams hang ends at its deadline and runs at most once.

--- a/tests/core/path_test.cc
+++ b/tests/core/path_test.cc
@@ -5,6 +5,8 @@
 namespace limpetlink::testing {
 namespace {
 
+constexpr int kLookupsToLearn = 60;
+
 CallerRequest Completion(bool stream) {
   CallerRequest request;
   request.method = "POST";
@@ -115,5 +117,37 @@
   CHECK(this->world.RunUntilReady());
 }
 
+TEST_CASE_METHOD(PathFixture,
+                 "lookup, one upstream hangs, is answered by a second copy") {
+  CallerRequest lookup;
+  lookup.method = "GET";
+  lookup.path = "/v1/services/orders/lookups/7";
+  for (int i = 0; i < kLookupsToLearn; ++i) {
+    REQUIRE(this->Serve(lookup).status == 200);
+  }
+  this->world.network.SetLink("127.0.0.1:9500", LinkState::kStalled);
+  for (int i = 0; i < 4; ++i) {
+    const Instant sent = this->world.timeline.Now();
+    const CallerLog& log = this->Serve(lookup);
+    CHECK(log.status == 200);
+    CHECK(log.ended_at - sent < std::chrono::seconds(2));
+  }
+}
+
+TEST_CASE_METHOD(PathFixture,
+                 "order, its upstream hangs, is sent to no other") {
+  this->world.network.SetLink("127.0.0.1:9500", LinkState::kStalled);
+  this->world.network.SetLink("127.0.0.1:9501", LinkState::kStalled);
+  const std::size_t caller =
+      this->world.Send(0, Order("k", "body"), std::chrono::seconds(5));
+  this->world.RunUntil([&] { return this->world.Over(caller); },
+                       std::chrono::seconds(10));
+  CHECK(this->world.callers[caller].status == 504);
+  this->world.network.SetLink("127.0.0.1:9500", LinkState::kUp);
+  this->world.network.SetLink("127.0.0.1:9501", LinkState::kUp);
+  this->world.RunFor(std::chrono::seconds(10));
+  CHECK(this->world.executions.size() <= 1);
+}
+
 }  // namespace
 }  // namespace limpetlink::testing
