--- a/programs/limpet_entry/main.cc
+++ b/programs/limpet_entry/main.cc
@@ -1,5 +1,7 @@
 #include <random>
 
+#include "platform/platform.h"
+#include "programs/limpet_entry/gateway_process.h"
 #include "programs/limpet_entry/process.h"
 #include "settings/settings.h"
 
@@ -34,6 +36,9 @@
 
 int main(int argc, char** argv) {
   using limpetlink::Need;
+  if (const auto path = limpetlink::platform::SettingsPath()) {
+    return limpetlink::RunGatewayProcess(*path);
+  }
   limpetlink::EntryProcessSettings settings;
   limpetlink::EntryHostSettings& host = settings.host;
   host.seed =
--- a/programs/limpetctl/host_commands.cc
+++ b/programs/limpetctl/host_commands.cc
@@ -21,8 +21,8 @@
   }
   PlatformAccess platform(context.settings.platform, context.exchange,
                           context.hooks);
-  const PlatformResult listed = platform.Hosts();
-  if (listed.status != PlatformStatus::kOk) {
+  const StoreResult listed = platform.Hosts();
+  if (listed.status != StoreStatus::kOk) {
     return MakeStatus(ErrorCode::kPlatformUnavailable, ToText(listed.status));
   }
   std::vector<std::string> addresses;
--- a/src/configuration/apply.cc
+++ b/src/configuration/apply.cc
@@ -35,7 +35,7 @@
   return record.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-bool Ran(PlatformStatus status) { return status == PlatformStatus::kOk; }
+bool Ran(StoreStatus status) { return status == StoreStatus::kOk; }
 
 }  // namespace
 
@@ -59,7 +59,7 @@
   return fleet_name + "/" + std::string(missing, '0') + digits;
 }
 
-ApplyFleet::ApplyFleet(PlatformClient* platform, FleetChange change,
+ApplyFleet::ApplyFleet(MetadataStoreClient* platform, FleetChange change,
                        Duration limit)
     : platform(platform), change(std::move(change)), limit(limit) {}
 
@@ -114,7 +114,7 @@
   this->again_at = now + kPause;
 }
 
-bool ApplyFleet::OnPlatform(Instant now, const PlatformResult& result) {
+bool ApplyFleet::OnPlatform(Instant now, const StoreResult& result) {
   if (this->op == 0 || result.op.value != this->op) {
     return false;
   }
@@ -141,9 +141,9 @@
   return true;
 }
 
-void ApplyFleet::HandleRead(Instant now, const PlatformResult& read) {
+void ApplyFleet::HandleRead(Instant now, const StoreResult& read) {
   const std::uint64_t base = this->change.base_version;
-  if (read.status == PlatformStatus::kAbsent) {
+  if (read.status == StoreStatus::kAbsent) {
     if (base == 0) {
       this->Begin(now, Step::kWrite);
     } else {
@@ -168,9 +168,9 @@
   }
 }
 
-void ApplyFleet::HandleArchive(Instant now, const PlatformResult& answer) {
+void ApplyFleet::HandleArchive(Instant now, const StoreResult& answer) {
   const bool kept =
-      Ran(answer.status) || answer.status == PlatformStatus::kConflict;
+      Ran(answer.status) || answer.status == StoreStatus::kConflict;
   if (kept) {
     this->Begin(now, Step::kWrite);
   } else {
@@ -178,19 +178,19 @@
   }
 }
 
-void ApplyFleet::HandleWrite(Instant now, const PlatformResult& answer) {
+void ApplyFleet::HandleWrite(Instant now, const StoreResult& answer) {
   switch (answer.status) {
-    case PlatformStatus::kOk:
+    case StoreStatus::kOk:
       this->Applied(now, answer.version);
       return;
-    case PlatformStatus::kConflict:
+    case StoreStatus::kConflict:
       this->Begin(now, Step::kReadBack);
       return;
-    case PlatformStatus::kUnknown:
+    case StoreStatus::kUnknown:
       this->write_may_run = true;
       this->Begin(now, Step::kReadBack);
       return;
-    case PlatformStatus::kRefused:
+    case StoreStatus::kRefused:
       this->End(this->write_may_run ? ApplyOutcome::kUnknown
                                     : ApplyOutcome::kNotApplied);
       return;
@@ -200,7 +200,7 @@
   }
 }
 
-void ApplyFleet::HandleReadBack(Instant now, const PlatformResult& read) {
+void ApplyFleet::HandleReadBack(Instant now, const StoreResult& read) {
   const std::uint64_t base = this->change.base_version;
   const WriteCondition condition =
       base == 0 ? WriteCondition::IfAbsent() : WriteCondition::IfVersion(base);
@@ -231,8 +231,8 @@
   }
 }
 
-void ApplyFleet::HandleHistory(Instant now, const PlatformResult& read) {
-  if (read.status == PlatformStatus::kAbsent) {
+void ApplyFleet::HandleHistory(Instant now, const StoreResult& read) {
+  if (read.status == StoreStatus::kAbsent) {
     // Whoever wrote version base + 2 did not keep the history: nobody can tell.
     this->End(ApplyOutcome::kUnknown);
     return;
@@ -285,7 +285,7 @@
   if (this->deadline <= now) {
     if (this->op != 0) {
       this->write_may_run = this->write_may_run || this->step == Step::kWrite;
-      this->platform->Cancel(PlatformOp{this->op});
+      this->platform->Cancel(StoreOp{this->op});
     }
     this->End(this->write_may_run ? ApplyOutcome::kUnknown
                                   : ApplyOutcome::kNotApplied);
--- a/src/configuration/detail/apply.h
+++ b/src/configuration/detail/apply.h
@@ -10,7 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "base/base.h"
-#include "platform/platform.h"
+#include "metadata_store/metadata_store.h"
 
 namespace limpetlink {
 
@@ -85,7 +85,7 @@
   /// @param platform client to use; outlives this
   /// @param change what is wanted
   /// @param limit an answer is given by then at the latest
-  ApplyFleet(PlatformClient* platform, FleetChange change,
+  ApplyFleet(MetadataStoreClient* platform, FleetChange change,
              Duration limit = std::chrono::seconds(30));
 
   /// @brief Begins.
@@ -93,7 +93,7 @@
 
   /// @brief Takes an operation's result.
   /// @return whether the operation was this change's
-  bool OnPlatform(Instant now, const PlatformResult& result);
+  bool OnPlatform(Instant now, const StoreResult& result);
 
   /// @brief Lets time pass.
   void Tick(Instant now);
@@ -109,17 +109,17 @@
 
   void Begin(Instant now, Step step);
   void Again(Instant now);
-  void HandleRead(Instant now, const PlatformResult& read);
-  void HandleArchive(Instant now, const PlatformResult& answer);
-  void HandleWrite(Instant now, const PlatformResult& answer);
-  void HandleReadBack(Instant now, const PlatformResult& read);
-  void HandleHistory(Instant now, const PlatformResult& read);
+  void HandleRead(Instant now, const StoreResult& read);
+  void HandleArchive(Instant now, const StoreResult& answer);
+  void HandleWrite(Instant now, const StoreResult& answer);
+  void HandleReadBack(Instant now, const StoreResult& read);
+  void HandleHistory(Instant now, const StoreResult& read);
   void Applied(Instant now, std::uint64_t version);
   void Conflict();
   void End(ApplyOutcome outcome);
   bool IsOwn(std::string_view json) const;
 
-  PlatformClient* platform;
+  MetadataStoreClient* platform;
   FleetChange change;
   Duration limit;
   Step step = Step::kRead;
--- a/src/configuration/detail/store.h
+++ b/src/configuration/detail/store.h
@@ -16,7 +16,7 @@
 #include "base/base.h"
 #include "configuration/detail/delta.h"
 #include "configuration/detail/wire.h"
-#include "platform/platform.h"
+#include "metadata_store/metadata_store.h"
 
 namespace limpetlink {
 
@@ -94,8 +94,8 @@
   /// @param settings who this host is, and times
   /// @param platform the host's client; outlives the store
   /// @param validate judges a document before it is adopted
-  ConfigurationStore(ConfigurationSettings settings, PlatformClient* platform,
-                     ValidateDocument validate);
+  ConfigurationStore(ConfigurationSettings settings,
+                     MetadataStoreClient* platform, ValidateDocument validate);
 
   /// @brief Begins to read the newest version.
   void Start(Instant now);
@@ -108,7 +108,7 @@
 
   /// @brief Takes an operation's result.
   /// @return whether the operation was the store's
-  bool OnPlatform(Instant now, const PlatformResult& result);
+  bool OnPlatform(Instant now, const StoreResult& result);
 
   /// @brief Takes a payload of kind kConfiguration. A malformed one is counted.
   void OnPeer(Instant now, const HostId& from, std::string_view bytes);
@@ -191,7 +191,7 @@
   bool TakeWholeToken(Instant now);
 
   ConfigurationSettings settings;
-  PlatformClient* platform;
+  MetadataStoreClient* platform;
   ValidateDocument validate;
   Random random;
   std::uint64_t version = 0;
--- a/src/configuration/store.cc
+++ b/src/configuration/store.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 ConfigurationStore::ConfigurationStore(ConfigurationSettings settings,
-                                       PlatformClient* platform,
+                                       MetadataStoreClient* platform,
                                        ValidateDocument validate)
     : settings(std::move(settings)),
       platform(platform),
@@ -37,7 +37,7 @@
   this->outage_answers.clear();
   this->pull = Pull{};
   if (this->open_op != 0) {
-    this->platform->Cancel(PlatformOp{this->open_op});
+    this->platform->Cancel(StoreOp{this->open_op});
     this->open_op = 0;
   }
   this->AskPlatform(now, Duration{0});
@@ -72,16 +72,15 @@
   }
   const ObjectKey key{std::string(kFleetKind), this->settings.fleet_name};
   const std::uint64_t known = std::max(this->version, this->refused_version);
-  const PlatformOp op = known == 0
-                            ? this->platform->Get(now, key)
-                            : this->platform->Watch(now, key, known, wait);
+  const StoreOp op = known == 0 ? this->platform->Get(now, key)
+                                : this->platform->Watch(now, key, known, wait);
   this->open_op = op.value;
   this->open_at = now;
   this->open_wait = known == 0 ? Duration{0} : wait;
   ++this->counters.platform_calls;
 }
 
-bool ConfigurationStore::OnPlatform(Instant now, const PlatformResult& result) {
+bool ConfigurationStore::OnPlatform(Instant now, const StoreResult& result) {
   this->NoticeGap(now);
   if (result.op.value != this->open_op || this->open_op == 0) {
     return false;
@@ -89,7 +88,7 @@
   this->open_op = 0;
   const Duration age = now - this->open_at;
   switch (result.status) {
-    case PlatformStatus::kOk:
+    case StoreStatus::kOk:
       this->Offer(now, result.version, result.bytes, nullptr);
       this->next_platform = now + kWatchSpacing;
       if (result.version == this->version) {
@@ -99,10 +98,10 @@
         this->platform_away = true;  // refused: an older one is all there is
       }
       break;
-    case PlatformStatus::kUnchanged:
+    case StoreStatus::kUnchanged:
       this->HandleUnchanged(now, age);
       break;
-    case PlatformStatus::kAbsent:
+    case StoreStatus::kAbsent:
       this->next_platform = now + this->Jitter(kRetryPlatform);
       break;
     default:
--- a/src/configuration/tests/apply_test.cc
+++ b/src/configuration/tests/apply_test.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "configuration/configuration.h"
-#include "platform/tests/fake_platform.h"
+#include "metadata_store/tests/fake_platform.h"
 
 namespace limpetlink {
 namespace {
@@ -21,8 +21,8 @@
  public:
   ApplyFixture() {
     this->platform.objects["fleet/today"] = {4, Text("base")};
-    this->client = std::make_unique<PlatformClient>(
-        PlatformSettings{"http://10.0.0.9:80", {100, 100, 100, 100}},
+    this->client = std::make_unique<MetadataStoreClient>(
+        MetadataStoreSettings{"http://10.0.0.9:80", {100, 100, 100, 100}},
         [this] { return CallId{++this->last_call}; });
   }
 
@@ -68,7 +68,7 @@
         this->Serve(*call);
       }
     }
-    for (const PlatformResult& result : this->client->TakeResults()) {
+    for (const StoreResult& result : this->client->TakeResults()) {
       apply->OnPlatform(this->now, result);
     }
   }
@@ -137,7 +137,7 @@
   }
 
   FakePlatform platform;
-  std::unique_ptr<PlatformClient> client;
+  std::unique_ptr<MetadataStoreClient> client;
   std::uint64_t last_call = 0;
   int calls = 0;
   int failing_call = -1;
@@ -220,8 +220,8 @@
                  "fleet change, platform away throughout, ends in time as not "
                  "applied") {
   const Instant began = this->now;
-  this->client = std::make_unique<PlatformClient>(
-      PlatformSettings{"http://10.0.0.9:80", {0, 0, 0, 0}},
+  this->client = std::make_unique<MetadataStoreClient>(
+      MetadataStoreSettings{"http://10.0.0.9:80", {0, 0, 0, 0}},
       [this] { return CallId{++this->last_call}; });
   CHECK(this->Run().outcome == ApplyOutcome::kNotApplied);
   CHECK(this->now - began <= seconds(31));
--- a/src/configuration/tests/store_test.cc
+++ b/src/configuration/tests/store_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "configuration/configuration.h"
-#include "platform/tests/fake_platform.h"
+#include "metadata_store/tests/fake_platform.h"
 
 namespace limpetlink {
 namespace {
@@ -47,7 +47,7 @@
         }
       }
     }
-    for (const PlatformResult& result : this->client.TakeResults()) {
+    for (const StoreResult& result : this->client.TakeResults()) {
       this->store.OnPlatform(this->now, result);
     }
   }
@@ -66,7 +66,7 @@
 
   std::uint64_t last_call = 0;
   int answered = 0;
-  PlatformClient client;
+  MetadataStoreClient client;
   ConfigurationStore store;
   Instant now{seconds(100)};
 };
--- /dev/null
+++ b/src/discovery/detail/kind_watch.h
@@ -0,0 +1,81 @@
+/// @file
+/// @brief Follows all objects of one kind in the metadata store.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "metadata_store/metadata_store.h"
+
+namespace limpetlink {
+
+/// @brief How a kind is followed.
+struct KindWatchSettings {
+  std::string kind;
+  Duration wait{std::chrono::seconds(1)};  ///< a quiet watch ends after it
+  Duration pause{0};  ///< after changes, so that one call brings several
+};
+
+/// @brief What a watch tells its owner.
+struct KindWatchHooks {
+  /// The whole kind as it stands; what is not in it does not exist.
+  std::function<void(Instant, std::vector<ObjectRecord>)> replace;
+  /// One object was changed or removed.
+  std::function<void(Instant, const ObjectRecord&)> change;
+};
+
+/// @brief Lists a kind, then watches it; lists anew when the store's history
+/// does not reach back far enough.
+class KindWatch {
+ public:
+  /// @param client outlives the watch
+  KindWatch(KindWatchSettings settings, KindWatchHooks hooks,
+            MetadataStoreClient* client);
+
+  /// @brief Begins to list.
+  void Start(Instant now);
+
+  /// @brief Takes an operation's result.
+  /// @return whether the operation was this watch's
+  bool OnResult(Instant now, StoreResult* result);
+
+  /// @brief Lets time pass.
+  void Tick(Instant now);
+
+  /// @return when Tick is due
+  Instant NextWakeup() const { return this->next_call; }
+
+  /// @return whether the kind was read at least once
+  bool Known() const { return this->known; }
+
+  /// @brief Gives the age of what is known. Nothing that the store accepted
+  /// before that is missing.
+  /// @return time since the call left whose answer was the last; never
+  /// negative; Duration::max() before the first
+  Duration Age(Instant now) const {
+    return this->known ? now - this->fresh_at : Duration::max();
+  }
+
+ private:
+  void Call(Instant now);
+  void TakePage(Instant now, StoreResult* result);
+  void TakeChanges(Instant now, StoreResult* result);
+
+  KindWatchSettings settings;
+  KindWatchHooks hooks;
+  MetadataStoreClient* client;
+  StoreOp op;
+  bool listing = true;
+  bool known = false;
+  std::vector<ObjectRecord> pages;
+  std::string after;
+  std::uint64_t revision = 0;
+  Instant list_began{};  ///< of the first page that was answered
+  Instant fresh_at{};
+  Instant next_call = kNever;
+};
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/discovery/kind_watch.cc
@@ -0,0 +1,93 @@
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "discovery/discovery.h"
+
+namespace limpetlink {
+namespace {
+
+// Between a failed call and the next; the client's own backoff comes on top.
+constexpr Duration kAfterFailure = std::chrono::milliseconds(50);
+
+}  // namespace
+
+KindWatch::KindWatch(KindWatchSettings settings, KindWatchHooks hooks,
+                     MetadataStoreClient* client)
+    : settings(std::move(settings)), hooks(std::move(hooks)), client(client) {}
+
+void KindWatch::Start(Instant now) { this->Call(now); }
+
+void KindWatch::Call(Instant now) {
+  this->next_call = kNever;
+  this->op =
+      this->listing
+          ? this->client->ListRecords(now, this->settings.kind, this->after)
+          : this->client->WatchKind(now, this->settings.kind, this->revision,
+                                    this->settings.wait);
+}
+
+bool KindWatch::OnResult(Instant now, StoreResult* result) {
+  if (result->op != this->op) {
+    return false;
+  }
+  this->op = StoreOp{};
+  if (result->status == StoreStatus::kHistoryGone) {
+    this->listing = true;
+    this->after.clear();
+    this->pages.clear();
+    this->Call(now);
+    return true;
+  }
+  if (result->status != StoreStatus::kOk) {
+    this->next_call = now + std::max(kAfterFailure, result->retry_after);
+    return true;
+  }
+  if (this->listing) {
+    this->TakePage(now, result);
+  } else {
+    this->TakeChanges(now, result);
+  }
+  return true;
+}
+
+void KindWatch::TakePage(Instant now, StoreResult* result) {
+  if (this->after.empty()) {
+    this->list_began = result->asked_at;
+    this->revision = result->revision;  // changes during later pages come again
+  }
+  std::move(result->records.begin(), result->records.end(),
+            std::back_inserter(this->pages));
+  if (result->truncated && !this->pages.empty()) {
+    this->after = this->pages.back().name;
+    this->Call(now);
+    return;
+  }
+  this->listing = false;
+  this->known = true;
+  this->after.clear();
+  this->fresh_at = this->list_began;
+  this->hooks.replace(now, std::exchange(this->pages, {}));
+  this->Call(now);
+}
+
+void KindWatch::TakeChanges(Instant now, StoreResult* result) {
+  this->fresh_at = std::max(this->fresh_at, result->asked_at);
+  this->revision = std::max(this->revision, result->revision);
+  for (const ObjectRecord& record : result->records) {
+    this->hooks.change(now, record);
+  }
+  if (result->records.empty() || this->settings.pause <= Duration{0}) {
+    this->Call(now);
+  } else {
+    this->next_call = now + this->settings.pause;
+  }
+}
+
+void KindWatch::Tick(Instant now) {
+  if (this->next_call <= now) {
+    this->Call(now);
+  }
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/discovery/tests/kind_watch_test.cc
@@ -0,0 +1,169 @@
+#include <catch2/catch.hpp>
+
+#include "discovery/discovery.h"
+
+namespace limpetlink {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// @brief A store whose answers the test writes: "list:REVISION:NAMES",
+/// "events:REVISION:NAMES" or "gone".
+StoreDialect ScriptedDialect() {
+  StoreDialect dialect;
+  dialect.target = [](const StoreRequest& request) {
+    return request.verb == StoreVerb::kListRecords
+               ? "/list?after=" + request.after
+               : "/watch?from=" + std::to_string(request.version);
+  };
+  dialect.read = [](StoreVerb /*verb*/, StoreAnswer* answer,
+                    StoreResult* result) {
+    if (answer->status == 410) {
+      return StoreStatus::kHistoryGone;
+    }
+    const std::size_t colon = answer->body.find(':');
+    result->revision = std::stoull(answer->body.substr(0, colon));
+    for (const char name : answer->body.substr(colon + 1)) {
+      result->truncated = result->truncated || name == '+';
+      if (name != '+') {
+        ObjectRecord record;
+        record.name = std::string(1, name);
+        result->records.push_back(record);
+      }
+    }
+    return StoreStatus::kOk;
+  };
+  return dialect;
+}
+
+class KindWatchFixture {
+ public:
+  KindWatchFixture()
+      : client(Settings(), [this] { return CallId{++this->last_call}; }),
+        watch({"workers", seconds(1), milliseconds(100)},
+              {[this](Instant, std::vector<ObjectRecord> records) {
+                 this->listed.clear();
+                 for (const ObjectRecord& record : records) {
+                   this->listed += record.name;
+                 }
+                 ++this->lists;
+               },
+               [this](Instant, const ObjectRecord& record) {
+                 this->changed += record.name;
+               }},
+              &this->client) {
+    this->watch.Start(this->now);
+  }
+
+  static MetadataStoreSettings Settings() {
+    MetadataStoreSettings settings;
+    settings.url = "http://store";
+    settings.dialect = ScriptedDialect();
+    return settings;
+  }
+
+  /// @brief Gives the URL of the call that waits.
+  std::string Asked() {
+    for (Action& action : this->client.TakeActions()) {
+      if (auto* call = std::get_if<HttpCall>(&action)) {
+        this->waiting = *call;
+      }
+    }
+    return this->waiting.url;
+  }
+
+  void Answer(int status, const std::string& body) {
+    this->Asked();
+    this->client.OnHead(this->now, {this->waiting.id, status, {}});
+    this->client.OnChunk(this->now, {this->waiting.id, body});
+    this->client.OnDone(this->now, {this->waiting.id, HttpEnd::kComplete});
+    this->TakeResults();
+  }
+
+  void Cut() {
+    this->Asked();
+    this->client.OnDone(this->now, {this->waiting.id, HttpEnd::kCut});
+    this->TakeResults();
+  }
+
+  void TakeResults() {
+    for (StoreResult& result : this->client.TakeResults()) {
+      CHECK(this->watch.OnResult(this->now, &result));
+    }
+  }
+
+  void Pass(Duration span) {
+    this->now += span;
+    this->client.Tick(this->now);
+    this->TakeResults();
+    this->watch.Tick(this->now);
+  }
+
+  Instant now{seconds(100)};
+  std::uint64_t last_call = 0;
+  MetadataStoreClient client;
+  std::string listed;
+  std::string changed;
+  int lists = 0;
+  KindWatch watch;
+  HttpCall waiting;
+};
+
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, list in pages, is handed over whole",
+                 "[discovery]") {
+  this->Answer(200, "7:ab+");
+  CHECK_FALSE(this->watch.Known());
+  CHECK(this->Asked() == "http://store/list?after=b");
+  this->Answer(200, "9:c");
+  CHECK(this->listed == "abc");
+  CHECK(this->Asked() == "http://store/watch?from=7");  // 8 and 9 come again
+}
+
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, quiet, proves freshness from when it was asked",
+                 "[discovery]") {
+  this->Answer(200, "7:a");
+  this->Pass(seconds(1));
+  this->Answer(200, "7:");
+  CHECK(this->watch.Age(this->now) == seconds(1));
+}
+
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, changes, next call waits for further ones",
+                 "[discovery]") {
+  this->Answer(200, "7:a");
+  this->Answer(200, "8:b");
+  CHECK(this->changed == "b");
+  const std::uint64_t calls = this->last_call;
+  this->Pass(milliseconds(90));
+  CHECK(this->last_call == calls);
+  this->Pass(milliseconds(10));
+  CHECK(this->Asked() == "http://store/watch?from=8");
+}
+
+TEST_CASE_METHOD(KindWatchFixture, "kind watch, history gone, lists anew",
+                 "[discovery]") {
+  this->Answer(200, "7:ab");
+  this->Answer(410, "");
+  CHECK(this->Asked() == "http://store/list?after=");
+  this->Answer(200, "90:b");
+  CHECK(this->listed == "b");
+  CHECK(this->lists == 2);
+}
+
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, call cut, goes on from the same revision and is "
+                 "no fresher",
+                 "[discovery]") {
+  this->Answer(200, "7:a");
+  this->Pass(milliseconds(500));
+  this->Cut();
+  CHECK(this->watch.Age(this->now) == milliseconds(500));
+  this->Pass(seconds(1));
+  CHECK(this->Asked() == "http://store/watch?from=7");
+}
+
+}  // namespace
+}  // namespace limpetlink
--- a/src/entry/cluster_flow.cc
+++ b/src/entry/cluster_flow.cc
@@ -11,10 +11,10 @@
 /// Topic of the broadcasts that tell an upstream's state.
 constexpr std::uint32_t kUpstreamTopic = 1;
 
-PlatformSettings PlatformSettingsOf(const EntryHostSettings& settings) {
-  PlatformSettings platform;
+MetadataStoreSettings PlatformSettingsOf(const EntryHostSettings& settings) {
+  MetadataStoreSettings platform;
   platform.url = settings.platform_url;
-  platform.budget = ShareOfLimits(PlatformLimits{}, 1);
+  platform.budget = ShareOfLimits(StoreLimits{}, 1);
   platform.seed = StableHash("platform", settings.seed);
   return platform;
 }
@@ -124,7 +124,7 @@
 
 void ClusterFlow::Flush() {
   const Instant now = this->shared.now;
-  for (const PlatformResult& result : this->platform.TakeResults()) {
+  for (const StoreResult& result : this->platform.TakeResults()) {
     if (!this->configuration.OnPlatform(now, result) &&
         !this->membership.OnPlatform(now, result) && this->on_platform_result) {
       this->on_platform_result(result);
@@ -180,7 +180,7 @@
   const Instant now = this->shared.now;
   this->configuration.OnHosts(now, change.live, change.neighbours);
   this->platform.SetBudget(now,
-                           ShareOfLimits(PlatformLimits{}, change.live.size()));
+                           ShareOfLimits(StoreLimits{}, change.live.size()));
   SetHosts hosts;
   hosts.live = change.live;
   hosts.failure_domains = change.failure_domains;
--- a/src/entry/detail/cluster_flow.h
+++ b/src/entry/detail/cluster_flow.h
@@ -12,8 +12,8 @@
 #include "configuration/configuration.h"
 #include "entry/detail/host_context.h"
 #include "membership/membership.h"
+#include "metadata_store/metadata_store.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
 
 namespace limpetlink {
 
@@ -70,7 +70,7 @@
   bool Ready() const;
 
   /// @return the platform client, for the slices that keep objects there
-  PlatformClient& Platform() { return this->platform; }
+  MetadataStoreClient& Platform() { return this->platform; }
 
   /// @return the document's state on this host
   const ConfigurationStore& Configuration() const {
@@ -82,7 +82,7 @@
 
   /// @brief Set by the host: takes results of platform operations that are of
   /// neither slice here.
-  std::function<void(const PlatformResult&)> on_platform_result;
+  std::function<void(const StoreResult&)> on_platform_result;
 
   /// @brief Set by the host: told when the document or the live hosts changed.
   std::function<void()> on_change;
@@ -103,7 +103,7 @@
   std::string
       validated_text;  ///< last document that was found valid, kept parsed
   std::shared_ptr<const FleetDocument> validated;
-  PlatformClient platform;
+  MetadataStoreClient platform;
   ConfigurationStore configuration;
   Membership membership;
   PeerGate gate;
--- a/src/entry/detail/log_storage.h
+++ b/src/entry/detail/log_storage.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "idempotency/idempotency.h"
-#include "platform/platform.h"
+#include "metadata_store/metadata_store.h"
 
 namespace limpetlink {
 
@@ -17,7 +17,7 @@
 class LogStorage {
  public:
   /// @param platform outlives this
-  explicit LogStorage(PlatformClient& platform);
+  explicit LogStorage(MetadataStoreClient& platform);
 
   /// @brief Begins an operation.
   void Start(Instant now, const LogCreate& create);
@@ -29,8 +29,7 @@
   /// @return the log operations that ended by it: one, or none when the
   /// operation was not of the
   ///         log or goes on with the next page of a list
-  std::vector<LogOperationResult> Take(Instant now,
-                                       const PlatformResult& result);
+  std::vector<LogOperationResult> Take(Instant now, const StoreResult& result);
 
  private:
   struct Open {
@@ -41,8 +40,8 @@
 
   void NextPage(Instant now, Open list);
 
-  PlatformClient& platform;
-  std::map<PlatformOp, Open> open;
+  MetadataStoreClient& platform;
+  std::map<StoreOp, Open> open;
 };
 
 }  // namespace limpetlink
--- a/src/entry/detail/service_flow.h
+++ b/src/entry/detail/service_flow.h
@@ -20,7 +20,7 @@
  public:
   /// @param shared the host's state; outlives the flow
   /// @param platform keeps the idempotency log; outlives the flow
-  ServiceFlow(HostContext& shared, PlatformClient& platform);
+  ServiceFlow(HostContext& shared, MetadataStoreClient& platform);
 
   /// @return whether a path is one of this flow's
   static bool IsServicePath(std::string_view path);
@@ -46,7 +46,7 @@
   void OnHead(RequestId id, const HttpHead& head);
   void OnChunk(RequestId id, const HttpChunk& chunk);
   void OnDone(RequestId id, const HttpDone& done);
-  void OnPlatform(const PlatformResult& result);
+  void OnPlatform(const StoreResult& result);
   void OnWallClock(const WallClockRead& clock);
 
   /// @brief Gives a request up at its deadline, with its final answer.
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -4,3 +4,4 @@
 #pragma once
 
 #include "entry/detail/entry_host.h"
+#include "entry/detail/host_metrics.h"
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -28,7 +28,7 @@
             },
             [this] { return this->cluster.Members().Current(); }),
         pages(shared, cluster, [this] { this->BeginDrain(); }) {
-    this->cluster.on_platform_result = [this](const PlatformResult& result) {
+    this->cluster.on_platform_result = [this](const StoreResult& result) {
       this->services.OnPlatform(result);
     };
     this->cluster.on_change = [this] { this->reports.Refresh(); };
--- a/src/entry/log_storage.cc
+++ b/src/entry/log_storage.cc
@@ -12,30 +12,31 @@
 
 constexpr std::uint32_t kPageRows = 1000;
 
-LogOperationEnd EndOf(const PlatformResult& result) {
+LogOperationEnd EndOf(const StoreResult& result) {
   const bool write =
-      result.verb == PlatformVerb::kPut || result.verb == PlatformVerb::kDelete;
+      result.verb == StoreVerb::kPut || result.verb == StoreVerb::kDelete;
   switch (result.status) {
-    case PlatformStatus::kOk:
+    case StoreStatus::kOk:
       break;
-    case PlatformStatus::kAbsent:
+    case StoreStatus::kAbsent:
       return LogOperationEnd::kAbsent;
-    case PlatformStatus::kConflict:
+    case StoreStatus::kConflict:
       return LogOperationEnd::kExists;
-    case PlatformStatus::kUnknown:
+    case StoreStatus::kUnknown:
       return write ? LogOperationEnd::kLost : LogOperationEnd::kUnavailable;
-    case PlatformStatus::kUnchanged:
-    case PlatformStatus::kThrottled:
-    case PlatformStatus::kUnavailable:
-    case PlatformStatus::kRefused:
+    case StoreStatus::kUnchanged:
+    case StoreStatus::kThrottled:
+    case StoreStatus::kUnavailable:
+    case StoreStatus::kRefused:
+    case StoreStatus::kHistoryGone:
       return LogOperationEnd::kUnavailable;
   }
   switch (result.verb) {
-    case PlatformVerb::kPut:
+    case StoreVerb::kPut:
       return LogOperationEnd::kCreated;
-    case PlatformVerb::kDelete:
+    case StoreVerb::kDelete:
       return LogOperationEnd::kDeleted;
-    case PlatformVerb::kList:
+    case StoreVerb::kList:
       return LogOperationEnd::kListed;
     default:
       return LogOperationEnd::kFound;
@@ -44,16 +45,16 @@
 
 }  // namespace
 
-LogStorage::LogStorage(PlatformClient& platform) : platform(platform) {}
+LogStorage::LogStorage(MetadataStoreClient& platform) : platform(platform) {}
 
 void LogStorage::Start(Instant now, const LogCreate& create) {
-  const PlatformOp op = this->platform.Put(
+  const StoreOp op = this->platform.Put(
       now, {Kind(), create.name}, create.bytes, WriteCondition::IfAbsent());
   this->open.emplace(op, Open{create.operation, {}, {}});
 }
 
 void LogStorage::Start(Instant now, const LogRead& read) {
-  const PlatformOp op = this->platform.Get(now, {Kind(), read.name});
+  const StoreOp op = this->platform.Get(now, {Kind(), read.name});
   this->open.emplace(op, Open{read.operation, {}, {}});
 }
 
@@ -62,20 +63,20 @@
 }
 
 void LogStorage::Start(Instant now, const LogDelete& remove) {
-  const PlatformOp op = this->platform.Delete(now, {Kind(), remove.name}, {});
+  const StoreOp op = this->platform.Delete(now, {Kind(), remove.name}, {});
   this->open.emplace(op, Open{remove.operation, {}, {}});
 }
 
 void LogStorage::NextPage(Instant now, Open list) {
   const std::string after =
       list.names.empty() ? std::string() : list.names.back();
-  const PlatformOp op =
+  const StoreOp op =
       this->platform.List(now, Kind(), list.prefix, after, kPageRows);
   this->open.emplace(op, std::move(list));
 }
 
 std::vector<LogOperationResult> LogStorage::Take(Instant now,
-                                                 const PlatformResult& result) {
+                                                 const StoreResult& result) {
   const auto found = this->open.find(result.op);
   if (found == this->open.end()) {
     return {};
--- a/src/entry/service_flow.cc
+++ b/src/entry/service_flow.cc
@@ -76,7 +76,7 @@
 
 }  // namespace
 
-ServiceFlow::ServiceFlow(HostContext& shared, PlatformClient& platform)
+ServiceFlow::ServiceFlow(HostContext& shared, MetadataStoreClient& platform)
     : shared(shared), log(LogOptionsOf(shared.settings)), storage(platform) {}
 
 bool ServiceFlow::IsServicePath(std::string_view path) {
@@ -454,7 +454,7 @@
 
 // ---- The idempotency log ----
 
-void ServiceFlow::OnPlatform(const PlatformResult& result) {
+void ServiceFlow::OnPlatform(const StoreResult& result) {
   for (const LogOperationResult& ended :
        this->storage.Take(this->shared.now, result)) {
     this->StepLog(ended);
--- /dev/null
+++ b/src/event_loop/caller_server.cc
@@ -0,0 +1,450 @@
+#include "event_loop/detail/caller_server.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <optional>
+
+#include "event_loop/detail/event_loop.h"
+
+namespace limpetlink::event_loop {
+namespace {
+
+constexpr std::size_t kReadBytes = 8U << 10U;
+// Of a caller that sends further requests before its answer has come.
+constexpr std::size_t kMaxPipelined = 256U << 10U;
+constexpr int kMalformed = 400;
+constexpr int kTimedOut = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+constexpr int kListenQueue = 1024;
+
+}  // namespace
+
+/// @brief One caller's connection.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+ public:
+  CallerConnection(CallerServer* server, Tcp::socket socket)
+      : server(server), socket(std::move(socket)) {}
+
+  void Start() {
+    TuneSocket(&this->socket);
+    this->quiet_since = BootNow();
+    this->NewParser();
+    this->Read();
+  }
+
+  void TakeHead(const ReplyHead& head) { this->reply_head = head; }
+  void TakeBody(const std::string& bytes) { this->reply_body += bytes; }
+  void TakeEnd(const ReplyEnd& end) {
+    this->reply_ended = true;
+    this->reply_aborted = end.abort;
+  }
+
+  /// @brief Writes what was taken.
+  void Flush() {
+    if (this->closed) {
+      return;
+    }
+    if (this->reply_aborted) {
+      // What was taken before still goes out; the missing last chunk shows the
+      // caller that the answer is not whole.
+      this->close_after = true;
+    }
+    if (this->reply_head.has_value()) {
+      this->WriteHead();
+    }
+    if (!this->reply_body.empty()) {
+      this->output +=
+          this->chunked ? RenderChunk(this->reply_body) : this->reply_body;
+      this->reply_body.clear();
+    }
+    if (this->reply_ended && !this->reply_finished) {
+      this->reply_finished = true;
+      if (this->chunked && !this->reply_aborted) {
+        this->output += RenderChunk({});
+      }
+    }
+    this->Write();
+  }
+
+  bool Waiting() const { return this->request.value != 0; }
+
+  void Sweep(Instant now, const CallerBounds& bounds) {
+    if (this->Waiting() || this->is_writing) {
+      return;
+    }
+    const bool begun = this->parser->got_some() || !this->input.empty();
+    if (begun && now - this->begun_at > bounds.header_timeout &&
+        !this->parser->is_header_done()) {
+      this->Refuse(kTimedOut);
+    } else if (now - this->quiet_since > bounds.idle_timeout) {
+      this->Close();
+    }
+  }
+
+  void CloseIfIdle() {
+    const bool begun = this->parser->got_some() || !this->input.empty();
+    if (!this->Waiting() && !this->is_writing && !begun) {
+      this->Close();
+    }
+  }
+
+  void Close() {
+    if (this->closed) {
+      return;
+    }
+    this->closed = true;
+    ErrorCode ignored;  // closing releases the descriptor whatever it says
+    this->socket.close(ignored);
+    const auto self = this->shared_from_this();
+    if (this->Waiting()) {
+      this->server->by_request.erase(this->request.value);
+      this->server->hooks.emit(CallerGone{this->request});
+      this->request = RequestId{};
+    }
+    if (this->is_writing) {
+      --this->server->writing;
+      this->is_writing = false;
+    }
+    this->server->dirty.erase(self);
+    this->server->connections.erase(self);
+  }
+
+ private:
+  using Parser = http::request_parser<http::string_body>;
+
+  void NewParser() {
+    const CallerBounds bounds = this->server->hooks.bounds();
+    this->parser.emplace();
+    this->parser->eager(true);
+    this->parser->header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
+    this->parser->body_limit(bounds.body_bytes);
+  }
+
+  void Read() {
+    if (this->reading || this->closed || this->input.size() >= kMaxPipelined) {
+      return;
+    }
+    this->reading = true;
+    this->socket.async_read_some(asio::buffer(this->buffer),
+                                 [self = this->shared_from_this()](
+                                     const ErrorCode& error, std::size_t size) {
+                                   self->reading = false;
+                                   if (self->closed) {
+                                     return;
+                                   }
+                                   if (error) {
+                                     self->Close();
+                                     return;
+                                   }
+                                   self->TakeInput(size);
+                                 });
+  }
+
+  void TakeInput(std::size_t size) {
+    const Instant now = BootNow();
+    if (this->input.empty() && !this->parser->got_some()) {
+      this->begun_at = now;
+    }
+    this->quiet_since = now;
+    this->input.append(this->buffer.data(), size);
+    this->Parse();
+    this->Read();
+  }
+
+  void Parse() {
+    while (!this->Waiting() && !this->close_after && !this->input.empty()) {
+      ErrorCode error;
+      const std::size_t used =
+          this->parser->put(asio::buffer(this->input), error);
+      this->input.erase(0, used);
+      if (error == http::error::need_more) {
+        error = {};
+      }
+      if (error) {
+        this->RefuseFor(error);
+        return;
+      }
+      if (this->parser->is_done()) {
+        this->Emit();
+        return;
+      }
+      this->ContinueIfAsked();
+      if (used == 0) {
+        return;
+      }
+    }
+  }
+
+  void ContinueIfAsked() {
+    if (!this->parser->is_header_done() || this->told_continue) {
+      return;
+    }
+    this->told_continue = true;
+    const auto expect = this->parser->get()[http::field::expect];
+    if (boost::beast::iequals(expect, "100-continue")) {
+      this->output += "HTTP/1.1 100 Continue\r\n\r\n";
+      this->Write();
+    }
+  }
+
+  void Emit() {
+    auto message = this->parser->release();
+    this->keep_alive = message.keep_alive();
+    this->is_http_10 = message.version() < 11;
+    this->is_head = message.method() == http::verb::head;
+    this->told_continue = false;
+    this->NewParser();
+    this->request = this->server->hooks.next_id();
+    this->server->by_request[this->request.value] = this->shared_from_this();
+    CallerRequest told;
+    told.id = this->request;
+    told.method = std::string(message.method_string());
+    told.target = std::string(message.target());
+    const std::size_t mark =
+        std::min(told.target.find('?'), told.target.size());
+    told.path = told.target.substr(0, mark);
+    if (mark < told.target.size()) {
+      told.query = told.target.substr(mark + 1);
+    }
+    told.headers = CopyHeaders(message);
+    told.body = std::move(message.body());
+    told.for_operators = this->server->for_operators;
+    this->server->hooks.emit(std::move(told));
+  }
+
+  void RefuseFor(const ErrorCode& error) {
+    int status = kMalformed;
+    if (error == http::error::header_limit) {
+      status = kHeadTooLarge;
+    } else if (error == http::error::body_limit) {
+      status = kBodyTooLarge;
+    }
+    this->Refuse(status);
+  }
+
+  void Refuse(int status) {
+    this->output +=
+        RenderAnswerHead(status, {{"Connection", "close"}}, false, 0);
+    this->close_after = true;
+    this->input.clear();
+    this->Write();
+  }
+
+  void WriteHead() {
+    ReplyHead head = *std::move(this->reply_head);
+    this->reply_head.reset();
+    const std::string* connection = FindHeader(head.headers, "Connection");
+    const bool asked_to_close = connection != nullptr;
+    this->close_after =
+        this->close_after || asked_to_close || !this->keep_alive;
+    if (!this->keep_alive && !asked_to_close) {
+      head.headers.push_back({"Connection", "close"});
+    }
+    const bool whole = this->reply_ended && !this->reply_aborted;
+    this->chunked = !whole && !this->is_http_10;
+    const auto length = static_cast<long long>(this->reply_body.size());
+    this->output += RenderAnswerHead(head.status, head.headers, this->chunked,
+                                     whole ? length : -1);
+    if (this->is_head) {
+      this->reply_body.clear();
+    }
+  }
+
+  void Write() {
+    if (this->is_writing || this->closed) {
+      return;
+    }
+    if (this->output.empty()) {
+      this->AfterWrite();
+      return;
+    }
+    this->is_writing = true;
+    ++this->server->writing;
+    this->in_flight.swap(this->output);
+    this->output.clear();
+    asio::async_write(
+        this->socket, asio::buffer(this->in_flight),
+        [self = this->shared_from_this()](const ErrorCode& error, std::size_t) {
+          if (self->closed) {
+            return;
+          }
+          self->is_writing = false;
+          --self->server->writing;
+          self->in_flight.clear();
+          if (error) {
+            self->Close();
+            return;
+          }
+          if (self->Waiting() && !self->reply_finished) {
+            self->server->hooks.emit(
+                CallerDrained{self->request, self->output.size()});
+          }
+          self->Write();
+        });
+  }
+
+  void AfterWrite() {
+    if (this->Waiting() && !this->reply_finished) {
+      return;
+    }
+    const bool ended = this->reply_finished;
+    if (ended) {
+      this->server->by_request.erase(this->request.value);
+      this->request = RequestId{};
+      this->reply_ended = false;
+      this->reply_finished = false;
+      this->reply_aborted = false;
+      this->chunked = false;
+      this->quiet_since = BootNow();
+    }
+    if (this->close_after) {
+      this->Close();
+      return;
+    }
+    if (ended) {
+      this->begun_at = BootNow();
+      this->Parse();
+      this->Read();
+    }
+  }
+
+  CallerServer* server;
+  Tcp::socket socket;
+  std::array<char, kReadBytes> buffer{};
+  std::string input;
+  std::string output;
+  std::string in_flight;
+  std::optional<Parser> parser;
+  RequestId request;
+  std::optional<ReplyHead> reply_head;
+  std::string reply_body;
+  Instant quiet_since{};
+  Instant begun_at{};
+  bool reply_ended = false;
+  bool reply_finished = false;
+  bool reply_aborted = false;
+  bool chunked = false;
+  bool keep_alive = true;
+  bool is_http_10 = false;
+  bool is_head = false;
+  bool told_continue = false;
+  bool close_after = false;
+  bool is_writing = false;
+  bool reading = false;
+  bool closed = false;
+};
+
+CallerServer::CallerServer(asio::io_context* context, bool for_operators,
+                           CallerServerHooks hooks)
+    : context(context),
+      for_operators(for_operators),
+      hooks(std::move(hooks)),
+      acceptor(*context) {}
+
+CallerServer::~CallerServer() = default;
+
+absl::Status CallerServer::Listen(const std::string& address) {
+  const absl::StatusOr<SocketAddress> parsed = ParseSocketAddress(address);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  Tcp::endpoint endpoint;
+  endpoint.resize(parsed->size);
+  std::memcpy(endpoint.data(), parsed->Get(), parsed->size);
+  ErrorCode error;
+  this->acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    this->acceptor.listen(kListenQueue, error);
+  }
+  if (error) {
+    return absl::UnavailableError("cannot listen at " + address + ": " +
+                                  error.message());
+  }
+  this->Accept();
+  return absl::OkStatus();
+}
+
+std::uint16_t CallerServer::Port() const {
+  ErrorCode ignored;  // a closed listener has port 0
+  return this->acceptor.local_endpoint(ignored).port();
+}
+
+void CallerServer::Accept() {
+  this->acceptor.async_accept(
+      [this](const ErrorCode& error, Tcp::socket socket) {
+        if (!this->acceptor.is_open()) {
+          return;
+        }
+        if (!error) {
+          auto connection =
+              std::make_shared<CallerConnection>(this, std::move(socket));
+          this->connections.insert(connection);
+          connection->Start();
+        }
+        this->Accept();
+      });
+}
+
+bool CallerServer::Take(const ReplyHead& head) {
+  const auto found = this->by_request.find(head.id.value);
+  if (found == this->by_request.end()) {
+    return false;
+  }
+  found->second->TakeHead(head);
+  this->dirty.insert(found->second);
+  return true;
+}
+
+bool CallerServer::Take(ReplyBody* body) {
+  const auto found = this->by_request.find(body->id.value);
+  if (found == this->by_request.end()) {
+    return false;
+  }
+  found->second->TakeBody(body->bytes);
+  this->dirty.insert(found->second);
+  return true;
+}
+
+bool CallerServer::Take(const ReplyEnd& end) {
+  const auto found = this->by_request.find(end.id.value);
+  if (found == this->by_request.end()) {
+    return false;
+  }
+  found->second->TakeEnd(end);
+  this->dirty.insert(found->second);
+  return true;
+}
+
+void CallerServer::Flush() {
+  while (!this->dirty.empty()) {
+    const Connection connection = *this->dirty.begin();
+    this->dirty.erase(this->dirty.begin());
+    connection->Flush();
+  }
+}
+
+void CallerServer::Sweep(Instant now) {
+  const CallerBounds bounds = this->hooks.bounds();
+  const std::set<Connection> all = this->connections;
+  for (const Connection& connection : all) {
+    connection->Sweep(now, bounds);
+  }
+}
+
+void CallerServer::StopAccepting() {
+  ErrorCode ignored;  // closing releases the descriptor whatever it says
+  this->acceptor.close(ignored);
+  const std::set<Connection> all = this->connections;
+  for (const Connection& connection : all) {
+    connection->CloseIfIdle();
+  }
+}
+
+}  // namespace limpetlink::event_loop
--- /dev/null
+++ b/src/event_loop/event_loop.cc
@@ -0,0 +1,263 @@
+#include "event_loop/event_loop.h"
+
+#include <time.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <deque>
+
+#include "event_loop/detail/call_client.h"
+#include "event_loop/detail/caller_server.h"
+
+namespace limpetlink {
+namespace {
+
+namespace asio = boost::asio;
+
+// Idle connections and slow heads are looked for this often.
+constexpr Duration kSweepEvery = std::chrono::milliseconds(500);
+constexpr Duration kLongestSleep = std::chrono::seconds(60);
+// Of an ended core, whether its last replies have left.
+constexpr Duration kIdleCheck = std::chrono::milliseconds(5);
+
+}  // namespace
+
+Instant BootNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+class EventLoop::Impl {
+ public:
+  Impl(EventLoopSettings settings, CoreHooks core, EventLoopHooks hooks)
+      : settings(std::move(settings)),
+        core(std::move(core)),
+        hooks(std::move(hooks)),
+        callers(&this->context, false, this->ServerHooks()),
+        operators(&this->context, true, this->ServerHooks()),
+        client(&this->context,
+               [this](Event event) { this->Post(std::move(event)); }),
+        wakeup(this->context),
+        sweep(this->context),
+        reload(this->context),
+        signals(this->context, SIGTERM, SIGINT, SIGHUP) {}
+
+  absl::Status Start() {
+    std::signal(SIGPIPE, SIG_IGN);
+    absl::Status status = this->callers.Listen(this->settings.callers);
+    if (status.ok()) {
+      status = this->operators.Listen(this->settings.operators);
+    }
+    return status;
+  }
+
+  bool Run() {
+    this->WaitForSignal();
+    this->WaitForSweep();
+    this->WaitForReload();
+    this->Carry(this->core.start(BootNow()));
+    this->Settle();
+    this->context.run();
+    return !this->ended_at_once;
+  }
+
+  void RequestDrain() {
+    asio::post(this->context, [this] { this->Drain(); });
+  }
+
+  std::uint16_t CallersPort() const { return this->callers.Port(); }
+  std::uint16_t OperatorsPort() const { return this->operators.Port(); }
+
+ private:
+  event_loop::CallerServerHooks ServerHooks() {
+    return {[this](Event event) { this->Post(std::move(event)); },
+            this->hooks.bounds,
+            [this] { return RequestId{++this->last_request}; }};
+  }
+
+  /// @brief Queues an event; the first of a batch schedules the core.
+  void Post(Event event) {
+    this->queue.push_back(std::move(event));
+    if (!this->scheduled) {
+      this->scheduled = true;
+      asio::post(this->context, [this] { this->Settle(); });
+    }
+  }
+
+  /// @brief Feeds the core until nothing waits, then flushes and sleeps.
+  void Settle() {
+    this->scheduled = true;  // events made meanwhile are taken below
+    do {
+      while (!this->queue.empty()) {
+        const Event event = std::move(this->queue.front());
+        this->queue.pop_front();
+        this->Carry(this->core.step(BootNow(), event));
+      }
+      if (this->core.next_wakeup() <= BootNow()) {
+        this->Carry(this->core.tick(BootNow()));
+      }
+      this->callers.Flush();
+      this->operators.Flush();
+    } while (!this->queue.empty());
+    this->scheduled = false;
+    this->EndWhenDrained();
+    this->Sleep();
+  }
+
+  void Sleep() {
+    const Instant now = BootNow();
+    Instant due = this->core.next_wakeup();
+    if (this->draining) {
+      due = std::min(due,
+                     now + (this->core.drained() ? kIdleCheck : kSweepEvery));
+    }
+    due = std::min(due, now + kLongestSleep);
+    if (due == this->sleeping_until) {
+      return;
+    }
+    this->sleeping_until = due;
+    this->wakeup.expires_after(
+        std::max(std::chrono::microseconds(0), due - now));
+    this->wakeup.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        this->sleeping_until = Instant{};
+        this->Settle();
+      }
+    });
+  }
+
+  void EndWhenDrained() {
+    if (!this->draining) {
+      return;
+    }
+    if (this->accepting && !this->hooks.accepts_callers()) {
+      this->accepting = false;
+      this->callers.StopAccepting();
+    }
+    if (this->core.drained() && this->callers.Idle()) {
+      this->context.stop();
+    }
+  }
+
+  void Drain() {
+    if (!this->draining) {
+      this->draining = true;
+      this->Carry(this->core.drain(BootNow()));
+      this->Settle();
+    }
+  }
+
+  void Carry(Actions actions) {
+    for (Action& action : actions) {
+      std::visit(
+          [this](auto&& order) {
+            this->CarryOne(std::forward<decltype(order)>(order));
+          },
+          std::move(action));
+    }
+  }
+
+  void CarryOne(const ReplyHead& head) {
+    this->callers.Take(head) || this->operators.Take(head);
+  }
+  void CarryOne(ReplyBody body) {
+    this->callers.Take(&body) || this->operators.Take(&body);
+  }
+  void CarryOne(const ReplyEnd& end) {
+    this->callers.Take(end) || this->operators.Take(end);
+  }
+  void CarryOne(HttpCall call) { this->client.Take(std::move(call)); }
+  void CarryOne(const HttpCancel& cancel) { this->client.Take(cancel); }
+  void CarryOne(const HttpPause& pause) { this->client.Take(pause); }
+  void CarryOne(const PeerSend& send) {
+    this->CarryOne(LogLine{
+        LogLevel::kError, "no links to peers here", {{"to", send.to.value}}});
+  }
+  void CarryOne(const LogLine& line) { this->hooks.log(line, BootNow()); }
+  void CarryOne(const SpanRecord& span) { this->hooks.span(span); }
+
+  void WaitForSignal() {
+    this->signals.async_wait(
+        [this](const boost::system::error_code& error, int number) {
+          if (error) {
+            return;
+          }
+          if (number == SIGHUP) {
+            this->hooks.reload();
+          } else if (this->draining) {
+            this->ended_at_once = true;
+            this->context.stop();
+          } else {
+            this->Drain();
+          }
+          this->WaitForSignal();
+        });
+  }
+
+  void WaitForSweep() {
+    this->sweep.expires_after(kSweepEvery);
+    this->sweep.async_wait([this](const boost::system::error_code& error) {
+      if (error) {
+        return;
+      }
+      const Instant now = BootNow();
+      this->callers.Sweep(now);
+      this->operators.Sweep(now);
+      this->client.Sweep(now);
+      this->WaitForSweep();
+    });
+  }
+
+  void WaitForReload() {
+    this->reload.expires_after(kReloadCheck);
+    this->reload.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        this->hooks.reload();
+        this->WaitForReload();
+      }
+    });
+  }
+
+  EventLoopSettings settings;
+  CoreHooks core;
+  EventLoopHooks hooks;
+  asio::io_context context{1};
+  std::uint64_t last_request = 0;
+  std::deque<Event> queue;
+  event_loop::CallerServer callers;
+  event_loop::CallerServer operators;
+  event_loop::CallClient client;
+  asio::steady_timer wakeup;
+  asio::steady_timer sweep;
+  asio::steady_timer reload;
+  asio::signal_set signals;
+  Instant sleeping_until{};
+  bool scheduled = false;
+  bool draining = false;
+  bool accepting = true;
+  bool ended_at_once = false;
+};
+
+EventLoop::EventLoop(EventLoopSettings settings, CoreHooks core,
+                     EventLoopHooks hooks)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(core),
+                                  std::move(hooks))) {}
+EventLoop::~EventLoop() = default;
+absl::Status EventLoop::Start() { return this->impl->Start(); }
+bool EventLoop::Run() { return this->impl->Run(); }
+void EventLoop::RequestDrain() { this->impl->RequestDrain(); }
+std::uint16_t EventLoop::CallersPort() const {
+  return this->impl->CallersPort();
+}
+std::uint16_t EventLoop::OperatorsPort() const {
+  return this->impl->OperatorsPort();
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/gateway/forwarding.cc
@@ -0,0 +1,688 @@
+#include "gateway/detail/forwarding.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace limpetlink {
+namespace {
+
+// Sends of one request, those that a worker refused included.
+constexpr std::uint32_t kMostSends = 3;
+// Connections that may fail for one request before it is refused.
+constexpr std::uint32_t kMostConnectFailures = 4;
+// A round trip between regions and a lost opening packet's margin.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// Left of a deadline, below which a further send is of no use.
+constexpr Duration kLeastTimeToSend = std::chrono::milliseconds(20);
+// Bytes of a stream that a caller may lack before its worker is held back.
+constexpr std::size_t kPauseAbove = 64U << 10U;
+constexpr std::size_t kResumeBelow = 16U << 10U;
+// Longest answer that is held until it is whole.
+constexpr std::size_t kMaxHeldAnswer = 8U << 20U;
+// Before enough lookups were seen, a copy is sent after this part of the
+// route's objective, and never earlier than the least.
+constexpr double kHedgeShare = 0.5;
+constexpr Duration kLeastHedge = std::chrono::milliseconds(60);
+// Of the bound on revoked keys, kept for the time between the check and the
+// worker's start.
+constexpr Duration kRevocationMargin = std::chrono::milliseconds(750);
+// A worker's engine makes a token in about this time; callers' guesses of the
+// length are right at the median, so a third is put on top.
+constexpr Duration kTimePerToken = std::chrono::microseconds(9000);
+constexpr double kLengthMargin = 1.3;
+constexpr int kLowestPriority = 9;
+// Retry-After: long enough to outlast a worker's replacement in part, spread
+// so that refused callers do not come back together, and at most a third of
+// what the caller has left.
+constexpr double kComeBackSeconds = 0.25;
+constexpr double kComeBackSpread = 0.5;
+constexpr double kComeBackShare = 0.3;
+
+std::string Millis(Duration value) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+absl::string_view View(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string Text(std::string_view text) { return std::string(text); }
+
+}  // namespace
+
+Forwarding::Forwarding(const GatewaySettings& settings,
+                       const GatewayCodec& codec, ForwardingHooks hooks,
+                       const WorkerDirectory* directory, HostMetrics* metrics)
+    : settings(settings),
+      codec(codec),
+      hooks(std::move(hooks)),
+      directory(directory),
+      metrics(metrics),
+      loads(settings.seed),
+      random(settings.seed + 1) {}
+
+void Forwarding::Log(LogLevel level, std::string message,
+                     std::vector<LogField> fields) {
+  this->actions.emplace_back(
+      LogLine{level, std::move(message), std::move(fields)});
+}
+
+WindowBudget& Forwarding::BudgetOf(const std::string& service) {
+  const GatewayBounds& bounds = this->settings.bounds;
+  return this->budgets
+      .try_emplace(service, WindowBudgetSettings{bounds.retry_window,
+                                                 bounds.retry_ratio, 0.0})
+      .first->second;
+}
+
+Attempt* Forwarding::FindAttempt(CallId call, Forwarded** flow) {
+  const auto found = this->flow_of_call.find(call.value);
+  if (found == this->flow_of_call.end()) {
+    return nullptr;
+  }
+  *flow = &this->flows.at(found->second);
+  for (Attempt& attempt : (*flow)->running) {
+    if (attempt.call == call) {
+      return &attempt;
+    }
+  }
+  return nullptr;
+}
+
+// ---- Arrival ----
+
+void Forwarding::OnRequest(Instant now, CallerRequest request) {
+  this->metrics->Add(Counter::kRequests);
+  const std::uint64_t id = request.id.value;
+  Forwarded& flow = this->flows[id];
+  flow.request = std::move(request);
+  flow.arrived = now;
+  if (std::optional<Problem> problem = this->Admit(now, &flow)) {
+    this->Refuse(now, id, std::move(*problem));
+    return;
+  }
+  this->timers.insert({flow.deadline, id, TimerKind::kDeadline});
+  this->BudgetOf(flow.service).Earn(now);
+  if (!this->Send(now, &flow)) {
+    this->Refuse(
+        now, id,
+        {ErrorCode::kRoutingNoUpstream, Outcome::kNotRun,
+         "no worker of the service takes new work", this->ComeBack(now, flow)});
+  }
+}
+
+std::optional<Problem> Forwarding::Admit(Instant now, Forwarded* flow) {
+  const CallerRequest& request = flow->request;
+  const DeploymentInForce force = this->hooks.deployment(now);
+  const Duration soon = std::chrono::milliseconds(500);
+  if (force.table == nullptr) {
+    return Problem{ErrorCode::kFleetNotReady, Outcome::kNotRun,
+                   "no configuration is known yet", soon};
+  }
+  absl::StatusOr<CallerTerms> terms = this->codec.caller_terms(request.headers);
+  if (!terms.ok()) {
+    return RefusalOf(terms.status());
+  }
+  flow->terms = *std::move(terms);
+  flow->table = force.table;
+  const std::string* host = FindHeader(request.headers, "Host");
+  flow->route =
+      force.table->Find(host == nullptr ? std::string() : *host, request.path);
+  const bool current = force.age <= this->settings.bounds.apply;
+  if (flow->route == nullptr && !current) {
+    return Problem{ErrorCode::kFleetNotReady, Outcome::kNotRun,
+                   "the configuration may be outdated", soon};
+  }
+  if (flow->route == nullptr) {
+    return Problem{ErrorCode::kRequestUnknownRoute, Outcome::kNotRun,
+                   "no route has this host and path", std::nullopt};
+  }
+  if (std::optional<Problem> problem = this->AdmitKey(now, force, flow)) {
+    return problem;
+  }
+  flow->service = ChooseService(*flow->route, this->random.Fraction());
+  const ForwardingService* service = flow->table->Service(flow->service);
+  flow->on_engine = service != nullptr && service->engine.has_value();
+  const CallerTerms& told = flow->terms;
+  if (flow->on_engine) {
+    const std::uint64_t output = told.expected_output_tokens.value_or(
+        told.max_output_tokens.value_or(0));
+    flow->size.tokens = told.prompt_tokens.value_or(0) + output;
+  }
+  const Duration patience = std::min(
+      told.patience.value_or(flow->route->timeout), flow->route->timeout);
+  flow->deadline = now + patience;
+  const double output_tokens =
+      static_cast<double>(flow->size.tokens) -
+      static_cast<double>(told.prompt_tokens.value_or(0));
+  const Duration expected =
+      FromSeconds(ToSeconds(kTimePerToken) * output_tokens * kLengthMargin);
+  if (flow->Streaming() && expected >= this->hooks.time_to_end(now)) {
+    return Problem{ErrorCode::kHostShuttingDown, Outcome::kNotRun,
+                   "the stream would outlast this host", Duration{0}};
+  }
+  return std::nullopt;
+}
+
+std::optional<Problem> Forwarding::AdmitKey(Instant /*now*/,
+                                            const DeploymentInForce& force,
+                                            Forwarded* flow) {
+  if (flow->route->anonymous || !force.table->NeedsKeys()) {
+    return std::nullopt;
+  }
+  const GatewayBounds& bounds = this->settings.bounds;
+  const bool too_old = bounds.strict_revocation &&
+                       force.age + kRevocationMargin >= bounds.revocation;
+  const Problem outdated{ErrorCode::kFleetNotReady, Outcome::kNotRun,
+                         "the keys known here may be outdated",
+                         std::chrono::milliseconds(500)};
+  if (too_old) {
+    return outdated;
+  }
+  if (flow->terms.key.has_value()) {
+    flow->holder = force.table->HolderOf(*flow->terms.key);
+  }
+  if (flow->holder != nullptr) {
+    return std::nullopt;
+  }
+  if (force.age > bounds.apply) {
+    return outdated;
+  }
+  return Problem{ErrorCode::kRequestNoKey, Outcome::kNotRun,
+                 "no organisation has this key", std::nullopt};
+}
+
+// ---- Sending ----
+
+std::optional<LoadChoice> Forwarding::ChooseWorker(Instant now,
+                                                   const Forwarded& flow) {
+  const ForwardingService* service = flow.table->Service(flow.service);
+  const auto region = [this](const FailureDomainId& domain) {
+    const auto found = this->settings.region_of.find(domain.value);
+    return found == this->settings.region_of.end() ? domain.value
+                                                   : found->second;
+  };
+  const FailureDomainId& here = this->settings.failure_domain;
+  std::vector<LoadCandidate> candidates;
+  for (const WorkerRegistration* worker :
+       this->directory->OpenWorkers(flow.service)) {
+    if (std::find(flow.tried.begin(), flow.tried.end(), worker->id) !=
+        flow.tried.end()) {
+      continue;
+    }
+    LoadCandidate candidate;
+    candidate.worker = worker->id;
+    candidate.slots = worker->slots;
+    if (worker->domain != here) {
+      candidate.distance = region(worker->domain) == region(here)
+                               ? Distance::kSameRegion
+                               : Distance::kOtherRegion;
+    }
+    if (service != nullptr && service->engine.has_value()) {
+      candidate.memory_tokens = service->engine->memory_tokens;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return this->loads.Choose(now, candidates, flow.size);
+}
+
+bool Forwarding::Send(Instant now, Forwarded* flow) {
+  const std::optional<LoadChoice> choice = this->ChooseWorker(now, *flow);
+  if (!choice.has_value()) {
+    return false;
+  }
+  const WorkerRegistration* worker = this->directory->Find(choice->worker);
+  WorkerTerms terms;
+  terms.time_left = std::max(Duration{0}, flow->deadline - now);
+  terms.worker = choice->worker;
+  if (flow->holder != nullptr) {
+    terms.organisation = flow->holder->organisation;
+  }
+  if (flow->on_engine) {
+    const int priority = flow->holder != nullptr && flow->holder->priority
+                             ? *flow->holder->priority
+                             : flow->route->priority;
+    terms.priority = std::clamp(priority, 0, kLowestPriority);
+  }
+  Attempt attempt;
+  attempt.call = this->hooks.next_call_id();
+  attempt.worker = choice->worker;
+  attempt.sent = now;
+  HttpCall call;
+  call.id = attempt.call;
+  call.method = flow->request.method;
+  call.url = "http://" + worker->address + flow->request.target;
+  call.headers = this->codec.worker_headers(flow->request.headers, terms);
+  call.body = flow->request.body;
+  call.connect_timeout = kConnectTimeout;
+  ++flow->sends;
+  ++flow->runs;
+  flow->tried.push_back(choice->worker);
+  this->loads.Begin(now, choice->worker, flow->size);
+  this->flow_of_call[attempt.call.value] = flow->request.id.value;
+  const DeploymentInForce force = this->hooks.deployment(now);
+  this->Log(LogLevel::kInfo, "request placed",
+            {{"request", flow->terms.request_id},
+             {"route", flow->route->name},
+             {"service", flow->service},
+             {"worker", choice->worker.value},
+             {"send", std::to_string(flow->sends)},
+             {"load", absl::StrCat(choice->load)},
+             {"own_running", std::to_string(choice->own_running)},
+             {"report_age_ms",
+              choice->report_age ? Millis(*choice->report_age) : "none"},
+             {"configuration", std::to_string(flow->table->Contents().version)},
+             {"configuration_age_ms", Millis(force.age)}});
+  flow->running.push_back(std::move(attempt));
+  this->actions.emplace_back(std::move(call));
+  const bool may_hedge =
+      flow->Idempotent() && flow->runs < flow->route->max_attempts;
+  if (may_hedge) {
+    const std::optional<Duration> learnt =
+        this->hedge_delays.Find(flow->service, flow->route->name);
+    const Duration delay = std::max(
+        kLeastHedge, learnt.value_or(FromSeconds(
+                         ToSeconds(flow->route->objective) * kHedgeShare)));
+    this->timers.insert(
+        {now + delay, flow->request.id.value, TimerKind::kHedge});
+  }
+  return true;
+}
+
+// ---- Answers ----
+
+bool Forwarding::OnHead(Instant now, const HttpHead& head) {
+  Forwarded* flow = nullptr;
+  Attempt* attempt = this->FindAttempt(head.id, &flow);
+  if (attempt == nullptr) {
+    return this->flow_of_call.count(head.id.value) > 0;
+  }
+  attempt->status = head.status;
+  attempt->headers = head.headers;
+  attempt->said = this->codec.worker_answer(head.headers);
+  if (attempt->said.load.has_value()) {
+    this->loads.Report(now, attempt->worker, *attempt->said.load);
+  }
+  const bool success = head.status >= 200 && head.status < 300;
+  const bool foreign = attempt->said.request_id != flow->terms.request_id &&
+                       !(attempt->said.request_id.empty() && !success);
+  const bool spoilt =
+      foreign ||
+      (success && (!attempt->said.is_signed || attempt->said.encoded));
+  if (spoilt) {
+    this->actions.emplace_back(HttpCancel{head.id});
+    this->EndAttempt(now, flow->request.id.value, head.id, AttemptEnd::kSpoilt);
+    return true;
+  }
+  attempt->relaying = success && flow->Streaming();
+  return true;
+}
+
+bool Forwarding::OnChunk(Instant now, const HttpChunk& chunk) {
+  Forwarded* flow = nullptr;
+  Attempt* attempt = this->FindAttempt(chunk.id, &flow);
+  if (attempt == nullptr) {
+    return this->flow_of_call.count(chunk.id.value) > 0;
+  }
+  if (attempt->relaying) {
+    this->TakeEvents(now, flow, attempt, chunk.bytes);
+    return true;
+  }
+  attempt->body += chunk.bytes;
+  if (attempt->body.size() > kMaxHeldAnswer) {
+    this->actions.emplace_back(HttpCancel{chunk.id});
+    this->EndAttempt(now, flow->request.id.value, chunk.id,
+                     AttemptEnd::kSpoilt);
+  }
+  return true;
+}
+
+void Forwarding::TakeEvents(Instant now, Forwarded* flow, Attempt* attempt,
+                            std::string_view bytes) {
+  SplitEvents split = flow->events.Push(bytes);
+  const RequestId id = flow->request.id;
+  if (!split.whole.empty()) {
+    if (!flow->delivering) {
+      flow->delivering = true;
+      this->metrics->Record(Timing::kFirstToken, now - flow->arrived);
+      Headers headers =
+          this->ReplyHeaders(now, this->codec.caller_headers(attempt->headers));
+      this->actions.emplace_back(
+          ReplyHead{id, attempt->status, std::move(headers)});
+    } else {
+      this->metrics->Record(Timing::kBetweenTokens, now - flow->last_event);
+    }
+    flow->last_event = now;
+    this->metrics->Add(Counter::kTokensDelivered, split.count);
+    flow->buffered += split.whole.size();
+    this->actions.emplace_back(ReplyBody{id, std::move(split.whole)});
+  }
+  if (!split.in_order) {
+    this->metrics->Add(Counter::kFramesDropped);
+    this->actions.emplace_back(HttpCancel{attempt->call});
+    this->EndAttempt(now, id.value, attempt->call, AttemptEnd::kSpoilt);
+    return;
+  }
+  if (flow->buffered > kPauseAbove && !attempt->paused) {
+    attempt->paused = true;
+    this->actions.emplace_back(HttpPause{attempt->call, true});
+  }
+}
+
+void Forwarding::OnDrained(Instant /*now*/, const CallerDrained& drained) {
+  const auto found = this->flows.find(drained.id.value);
+  if (found == this->flows.end()) {
+    return;
+  }
+  Forwarded& flow = found->second;
+  flow.buffered = drained.buffered;
+  for (Attempt& attempt : flow.running) {
+    if (attempt.paused && flow.buffered < kResumeBelow) {
+      attempt.paused = false;
+      this->actions.emplace_back(HttpPause{attempt.call, false});
+    }
+  }
+}
+
+bool Forwarding::OnDone(Instant now, const HttpDone& done) {
+  Forwarded* flow = nullptr;
+  Attempt* attempt = this->FindAttempt(done.id, &flow);
+  if (attempt == nullptr) {
+    return this->flow_of_call.count(done.id.value) > 0;
+  }
+  const AttemptEnd end = this->Classify(*flow, *attempt, done.end);
+  this->EndAttempt(now, flow->request.id.value, done.id, end);
+  return true;
+}
+
+AttemptEnd Forwarding::Classify(const Forwarded& flow, const Attempt& attempt,
+                                HttpEnd end) const {
+  if (end == HttpEnd::kNotConnected) {
+    return AttemptEnd::kNotConnected;
+  }
+  if (attempt.said.not_run && attempt.status != 0) {
+    return AttemptEnd::kRefused;  // the head alone says so
+  }
+  if (end != HttpEnd::kComplete || attempt.status == 0) {
+    return AttemptEnd::kCut;
+  }
+  if (attempt.relaying && flow.events.Held() > 0) {
+    return AttemptEnd::kSpoilt;  // ends inside an event
+  }
+  // Without the worker's word these statuses would be a promise that no one
+  // made.
+  const bool false_promise = attempt.status == 503 || attempt.status == 429 ||
+                             attempt.status == 408 || attempt.status == 421;
+  if (false_promise && !flow.Idempotent()) {
+    return AttemptEnd::kSpoilt;
+  }
+  return attempt.status >= 500 ? AttemptEnd::kWorkerFailure
+                               : AttemptEnd::kAnswered;
+}
+
+void Forwarding::EndAttempt(Instant now, std::uint64_t id, CallId call,
+                            AttemptEnd end) {
+  Forwarded& flow = this->flows.at(id);
+  const auto found =
+      std::find_if(flow.running.begin(), flow.running.end(),
+                   [call](const Attempt& a) { return a.call == call; });
+  const Attempt attempt = std::move(*found);
+  flow.running.erase(found);
+  this->flow_of_call.erase(call.value);
+  this->loads.End(now, attempt.worker, flow.size);
+  const bool silent =
+      end == AttemptEnd::kNotConnected || end == AttemptEnd::kCut;
+  const bool failed = end != AttemptEnd::kAnswered;
+  this->loads.Note(now, attempt.worker, failed, silent);
+  if (end == AttemptEnd::kNotConnected) {
+    ++flow.connect_failures;
+  }
+  if (end == AttemptEnd::kNotConnected || end == AttemptEnd::kRefused) {
+    --flow.runs;
+  }
+  if (end == AttemptEnd::kAnswered && flow.Idempotent()) {
+    this->hedge_delays.Observe(flow.service, flow.route->name,
+                               now - attempt.sent);
+  }
+  this->Follow(now, id, attempt, end);
+}
+
+void Forwarding::Follow(Instant now, std::uint64_t id, const Attempt& attempt,
+                        AttemptEnd end) {
+  Forwarded& flow = this->flows.at(id);
+  WindowBudget& budget = this->BudgetOf(flow.service);
+  AttemptFacts facts;
+  facts.end = end;
+  facts.idempotent = flow.Idempotent();
+  facts.delivering = flow.delivering;
+  facts.other_running = !flow.running.empty();
+  facts.may_have_run = flow.runs > 0;
+  if (end != AttemptEnd::kNotConnected && end != AttemptEnd::kRefused) {
+    facts.may_have_run = flow.runs > 1;
+  }
+  facts.attempts_left = flow.runs < flow.route->max_attempts &&
+                        flow.sends - flow.connect_failures < kMostSends &&
+                        flow.connect_failures < kMostConnectFailures &&
+                        flow.deadline - now >= kLeastTimeToSend;
+  facts.budget_left = budget.Left(now) >= 1.0;
+  facts.worker_left = this->ChooseWorker(now, flow).has_value();
+  const NextStep step = AfterAttempt(facts);
+  if (end != AttemptEnd::kAnswered) {
+    this->Log(LogLevel::kInfo, "attempt failed",
+              {{"request", flow.terms.request_id},
+               {"worker", attempt.worker.value},
+               {"end", Text(ToText(end))},
+               {"status", std::to_string(attempt.status)},
+               {"answers", attempt.said.request_id},
+               {"after_ms", Millis(now - attempt.sent)},
+               {"budget_left", absl::StrCat(budget.Left(now))},
+               {"next", Text(ToText(step))}});
+  }
+  switch (step) {
+    case NextStep::kDeliver:
+      this->Deliver(now, id, attempt);
+      return;
+    case NextStep::kTryAnother:
+      if (end != AttemptEnd::kNotConnected) {
+        budget.Spend(now);
+        this->metrics->Add(Counter::kRetries);
+      }
+      this->Send(now, &flow);
+      return;
+    case NextStep::kWaitForOther:
+      return;
+    case NextStep::kRefuse:
+      this->Refuse(
+          now, id,
+          {ErrorCode::kUpstreamRefused, Outcome::kNotRun,
+           end == AttemptEnd::kRefused ? "the worker did not take the request"
+                                       : "no worker could be reached",
+           this->ComeBack(now, flow)});
+      return;
+    case NextStep::kFail:
+      this->Refuse(now, id,
+                   {ErrorCode::kUpstreamCut, Outcome::kUnknown,
+                    "the worker's answer did not arrive whole", std::nullopt});
+      return;
+    case NextStep::kBreakOff:
+      this->BreakOff(now, id, "the worker's stream broke off");
+      return;
+  }
+}
+
+// ---- Final answers ----
+
+Headers Forwarding::ReplyHeaders(Instant now, Headers headers) const {
+  if (this->hooks.time_to_end(now) != Duration::max()) {
+    headers.push_back({"Connection", "close"});
+  }
+  return headers;
+}
+
+void Forwarding::Deliver(Instant now, std::uint64_t id,
+                         const Attempt& attempt) {
+  Forwarded& flow = this->flows.at(id);
+  if (!flow.delivering) {
+    this->actions.emplace_back(ReplyHead{
+        flow.request.id, attempt.status,
+        this->ReplyHeaders(now, this->codec.caller_headers(attempt.headers))});
+    this->actions.emplace_back(ReplyBody{flow.request.id, attempt.body});
+  }
+  this->actions.emplace_back(ReplyEnd{flow.request.id, false});
+  this->CancelAttempts(now, &flow, false);
+  this->Finish(now, id, attempt.status, Outcome::kRan, "answered");
+}
+
+Duration Forwarding::ComeBack(Instant now, const Forwarded& flow) {
+  const Duration wanted =
+      FromSeconds(kComeBackSeconds + kComeBackSpread * this->random.Fraction());
+  const Duration most =
+      FromSeconds(ToSeconds(flow.deadline - now) * kComeBackShare);
+  return std::max(Duration{0}, std::min(wanted, most));
+}
+
+void Forwarding::ReplyProblem(Instant now, const RequestId& id,
+                              const Problem& problem) {
+  Headers headers = {{"Content-Type", "application/problem+json"}};
+  if (problem.retry_after.has_value()) {
+    headers.push_back(
+        {"Retry-After", absl::StrCat(ToSeconds(*problem.retry_after))});
+  }
+  this->actions.emplace_back(
+      ReplyHead{id, Describe(problem.code).http_status,
+                this->ReplyHeaders(now, std::move(headers))});
+  this->actions.emplace_back(ReplyBody{id, ToProblemJson(problem)});
+  this->actions.emplace_back(ReplyEnd{id, false});
+}
+
+void Forwarding::Refuse(Instant now, std::uint64_t id, Problem problem) {
+  Forwarded& flow = this->flows.at(id);
+  this->CancelAttempts(now, &flow, false);
+  if (flow.delivering) {
+    this->BreakOff(now, id, "given up");
+    return;
+  }
+  this->metrics->Add(Counter::kRefusals);
+  this->ReplyProblem(now, flow.request.id, problem);
+  const ErrorInfo& info = Describe(problem.code);
+  this->Finish(now, id, info.http_status, problem.outcome,
+               absl::StrCat(View(info.name), ": ", problem.detail));
+}
+
+void Forwarding::BreakOff(Instant now, std::uint64_t id, const char* cause) {
+  Forwarded& flow = this->flows.at(id);
+  this->CancelAttempts(now, &flow, false);
+  this->metrics->Add(Counter::kStreamsLost);
+  this->actions.emplace_back(ReplyEnd{flow.request.id, true});
+  this->Finish(now, id, 0, Outcome::kUnknown, cause);
+}
+
+void Forwarding::Finish(Instant now, std::uint64_t id, int status,
+                        Outcome outcome, std::string cause) {
+  const Forwarded& flow = this->flows.at(id);
+  this->metrics->Record(Timing::kRequest, now - flow.arrived);
+  this->Log(LogLevel::kInfo, "request finished",
+            {{"request", flow.terms.request_id},
+             {"route", flow.route == nullptr ? "" : flow.route->name},
+             {"status", std::to_string(status)},
+             {"outcome", Text(ToText(outcome))},
+             {"sends", std::to_string(flow.sends)},
+             {"took_ms", Millis(now - flow.arrived)},
+             {"cause", std::move(cause)}});
+  this->timers.erase({flow.deadline, id, TimerKind::kDeadline});
+  this->flows.erase(id);
+}
+
+void Forwarding::CancelAttempts(Instant now, Forwarded* flow, bool silent) {
+  for (const Attempt& attempt : flow->running) {
+    this->actions.emplace_back(HttpCancel{attempt.call});
+    this->flow_of_call.erase(attempt.call.value);
+    this->loads.End(now, attempt.worker, flow->size);
+    if (silent && attempt.status == 0) {
+      this->loads.Note(now, attempt.worker, true, true);
+    }
+  }
+  flow->running.clear();
+}
+
+void Forwarding::OnGone(Instant now, const CallerGone& gone) {
+  const auto found = this->flows.find(gone.id.value);
+  if (found == this->flows.end()) {
+    return;
+  }
+  this->CancelAttempts(now, &found->second, false);
+  const Outcome outcome =
+      found->second.runs > 0 ? Outcome::kUnknown : Outcome::kNotRun;
+  this->Finish(now, gone.id.value, 0, outcome, "the caller left");
+}
+
+// ---- Time ----
+
+void Forwarding::ReachDeadline(Instant now, std::uint64_t id) {
+  Forwarded& flow = this->flows.at(id);
+  this->metrics->Add(Counter::kDeadlinesReached);
+  const bool sent = flow.runs > 0;
+  this->CancelAttempts(now, &flow, true);
+  if (sent) {
+    this->Refuse(now, id,
+                 {ErrorCode::kRequestDeadlineReached, Outcome::kUnknown,
+                  "the worker did not answer in time", std::nullopt});
+    return;
+  }
+  this->Refuse(now, id,
+               {ErrorCode::kRoutingNoUpstream, Outcome::kNotRun,
+                "no worker took the request in time", Duration{0}});
+}
+
+void Forwarding::Hedge(Instant now, Forwarded* flow) {
+  const bool wanted = flow->running.size() == 1 &&
+                      flow->running.front().status == 0 &&
+                      flow->runs < flow->route->max_attempts &&
+                      flow->deadline - now >= kLeastTimeToSend;
+  if (!wanted || !this->ChooseWorker(now, *flow).has_value() ||
+      !this->BudgetOf(flow->service).Spend(now)) {
+    return;
+  }
+  this->metrics->Add(Counter::kRetries);
+  this->Log(LogLevel::kInfo, "second copy",
+            {{"request", flow->terms.request_id},
+             {"waited_ms", Millis(now - flow->running.front().sent)}});
+  this->Send(now, flow);
+}
+
+void Forwarding::Tick(Instant now) {
+  while (!this->timers.empty() && this->timers.begin()->due <= now) {
+    const Timer timer = *this->timers.begin();
+    this->timers.erase(this->timers.begin());
+    const auto found = this->flows.find(timer.flow);
+    if (found == this->flows.end()) {
+      continue;
+    }
+    if (timer.kind == TimerKind::kDeadline) {
+      this->ReachDeadline(now, timer.flow);
+    } else {
+      this->Hedge(now, &found->second);
+    }
+  }
+}
+
+Instant Forwarding::NextWakeup() const {
+  return this->timers.empty() ? kNever : this->timers.begin()->due;
+}
+
+void Forwarding::EndAll(Instant now) {
+  while (!this->flows.empty()) {
+    const std::uint64_t id = this->flows.begin()->first;
+    if (this->flows.begin()->second.delivering) {
+      this->BreakOff(now, id, "the host's time to end was reached");
+      continue;
+    }
+    this->Refuse(now, id,
+                 {ErrorCode::kUpstreamCut, Outcome::kUnknown,
+                  "the host's time to end was reached", std::nullopt});
+  }
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,12 @@
+/// @file
+/// @brief Forwarding by declared routes: the core of an entry host that passes
+/// requests on unchanged.
+#pragma once
+
+#include "gateway/detail/codec.h"
+#include "gateway/detail/end_to_end.h"
+#include "gateway/detail/event_splitter.h"
+#include "gateway/detail/final_answer.h"
+#include "gateway/detail/forwarding.h"
+#include "gateway/detail/gateway_host.h"
+#include "gateway/detail/settings.h"
--- /dev/null
+++ b/src/gateway/gateway_host.cc
@@ -0,0 +1,326 @@
+#include "gateway/detail/gateway_host.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace limpetlink {
+namespace {
+
+// A quiet watch of the configuration proves its freshness this often.
+constexpr Duration kDeploymentWait = std::chrono::milliseconds(1000);
+constexpr Duration kWorkersWait = std::chrono::milliseconds(1500);
+// Registrations change several times a second while workers are replaced; one
+// call then brings several changes. Far below the bound on leaving workers.
+constexpr Duration kWorkersPause = std::chrono::milliseconds(150);
+// After the balancer's two missed checks, one a second, and a margin.
+constexpr Duration kAcceptWhileDraining = std::chrono::milliseconds(3000);
+// Between the last cut request and the platform's SIGKILL.
+constexpr Duration kEndMargin = std::chrono::milliseconds(300);
+
+std::string Millis(Duration value) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+}  // namespace
+
+GatewayHost::GatewayHost(GatewaySettings settings, GatewayCodec codec)
+    : settings(std::move(settings)),
+      codec(std::move(codec)),
+      store(this->settings.store, [this] { return CallId{++this->last_call}; }),
+      deployments({this->codec.deployment_kind, kDeploymentWait, Duration{0}},
+                  {[this](Instant now, std::vector<ObjectRecord> records) {
+                     for (const ObjectRecord& record : records) {
+                       this->TakeDeployment(now, record);
+                     }
+                   },
+                   [this](Instant now, const ObjectRecord& record) {
+                     this->TakeDeployment(now, record);
+                   }},
+                  &this->store),
+      workers({this->codec.worker_kind, kWorkersWait, kWorkersPause},
+              {[this](Instant now, std::vector<ObjectRecord> records) {
+                 std::vector<UpstreamId> listed;
+                 for (const ObjectRecord& record : records) {
+                   listed.push_back(UpstreamId{record.name});
+                   this->TakeWorker(now, record);
+                 }
+                 this->directory.Retain(now, listed);
+               },
+               [this](Instant now, const ObjectRecord& record) {
+                 this->TakeWorker(now, record);
+               }},
+              &this->store),
+      forwarding(
+          this->settings, this->codec,
+          {[this](Instant now) {
+             return DeploymentInForce{this->table, this->deployments.Age(now)};
+           },
+           [this] { return CallId{++this->last_call}; },
+           [this](Instant now) {
+             return this->drain_began.has_value()
+                        ? *this->drain_began + this->settings.bounds.grace -
+                              kEndMargin - now
+                        : Duration::max();
+           }},
+          &this->directory, &this->metrics) {}
+
+void GatewayHost::Log(LogLevel level, std::string message,
+                      std::vector<LogField> fields) {
+  this->actions.emplace_back(
+      LogLine{level, std::move(message), std::move(fields)});
+}
+
+Actions GatewayHost::Start(Instant now) {
+  this->Log(LogLevel::kInfo, "started",
+            {{"failure_domain", this->settings.failure_domain.value},
+             {"store", this->settings.store.url}});
+  this->deployments.Start(now);
+  this->workers.Start(now);
+  return this->Collect(now);
+}
+
+Actions GatewayHost::Step(Instant now, const Event& event) {
+  if (const auto* request = std::get_if<CallerRequest>(&event)) {
+    if (request->for_operators) {
+      this->AnswerOperator(now, *request);
+    } else {
+      this->forwarding.OnRequest(now, *request);
+    }
+  } else if (const auto* gone = std::get_if<CallerGone>(&event)) {
+    this->forwarding.OnGone(now, *gone);
+  } else if (const auto* drained = std::get_if<CallerDrained>(&event)) {
+    this->forwarding.OnDrained(now, *drained);
+  } else if (const auto* head = std::get_if<HttpHead>(&event)) {
+    this->forwarding.OnHead(now, *head) || this->store.OnHead(now, *head);
+  } else if (const auto* chunk = std::get_if<HttpChunk>(&event)) {
+    this->forwarding.OnChunk(now, *chunk) || this->store.OnChunk(now, *chunk);
+  } else if (const auto* done = std::get_if<HttpDone>(&event)) {
+    this->forwarding.OnDone(now, *done) || this->store.OnDone(now, *done);
+  }
+  return this->Collect(now);
+}
+
+Actions GatewayHost::Tick(Instant now) {
+  this->store.Tick(now);
+  this->TakeResults(now);
+  this->deployments.Tick(now);
+  this->workers.Tick(now);
+  this->directory.Tick(now);
+  this->forwarding.Tick(now);
+  return this->Collect(now);
+}
+
+Actions GatewayHost::Drain(Instant now) {
+  if (!this->drain_began.has_value()) {
+    this->drain_began = now;
+    this->Log(LogLevel::kInfo, "shutdown began",
+              {{"requests", std::to_string(this->forwarding.Open())},
+               {"grace_ms", Millis(this->settings.bounds.grace)}});
+  }
+  return this->Collect(now);
+}
+
+void GatewayHost::TakeResults(Instant now) {
+  for (StoreResult& result : this->store.TakeResults()) {
+    const bool answered = result.status == StoreStatus::kOk ||
+                          result.status == StoreStatus::kHistoryGone;
+    if (answered) {
+      this->directory.NoteContact(now);
+    }
+    this->deployments.OnResult(now, &result) ||
+        this->workers.OnResult(now, &result);
+  }
+  this->LogStoreMode();
+}
+
+void GatewayHost::LogStoreMode() {
+  const StoreMode mode = this->store.Health().mode;
+  if (mode == this->told_mode) {
+    return;
+  }
+  this->told_mode = mode;
+  const bool bad = mode != StoreMode::kNormal;
+  this->Log(bad ? LogLevel::kWarning : LogLevel::kInfo,
+            bad ? "metadata store impaired" : "metadata store regained",
+            {{"mode", std::string(ToText(mode))},
+             {"failures_in_a_row",
+              std::to_string(this->store.Health().failures_in_a_row)},
+             {"latency_ms", Millis(this->store.Health().latency)}});
+}
+
+void GatewayHost::TakeDeployment(Instant now, const ObjectRecord& record) {
+  if (record.name != this->codec.deployment_name || record.deleted) {
+    return;
+  }
+  absl::StatusOr<Deployment> read = this->codec.deployment(record);
+  if (!read.ok()) {
+    this->metrics.Add(Counter::kMalformedInput);
+    this->Log(LogLevel::kError, "configuration unreadable",
+              {{"revision", std::to_string(record.version)},
+               {"reason", DetailOf(read.status())}});
+    return;
+  }
+  const std::uint64_t before =
+      this->table == nullptr ? 0 : this->table->Contents().version;
+  if (read->version <= before) {
+    return;  // never backwards
+  }
+  this->metrics.Add(Counter::kDocumentsAdopted);
+  this->Log(
+      LogLevel::kInfo, "configuration adopted",
+      {{"version", std::to_string(read->version)},
+       {"before", std::to_string(before)},
+       {"revision", std::to_string(record.version)},
+       {"routes", std::to_string(read->routes.size())},
+       {"age_ms", Millis(this->deployments.Known() ? this->deployments.Age(now)
+                                                   : Duration{0})}});
+  this->table = std::make_shared<const RouteTable>(*std::move(read));
+}
+
+void GatewayHost::TakeWorker(Instant now, const ObjectRecord& record) {
+  const UpstreamId id{record.name};
+  const WorkerRegistration* known = this->directory.Find(id);
+  if (record.deleted) {
+    this->Log(
+        LogLevel::kInfo, "worker removed",
+        {{"worker", id.value}, {"revision", std::to_string(record.version)}});
+    this->directory.Remove(now, id);
+    if (this->directory.Find(id) == nullptr) {
+      this->forwarding.Forget(id);
+    }
+    return;
+  }
+  absl::StatusOr<WorkerRegistration> read = this->codec.worker(record);
+  if (!read.ok()) {
+    this->metrics.Add(Counter::kMalformedInput);
+    this->Log(LogLevel::kWarning, "worker registration unreadable",
+              {{"worker", id.value},
+               {"revision", std::to_string(record.version)},
+               {"reason", DetailOf(read.status())}});
+    this->directory.Remove(now, id);
+    return;
+  }
+  const bool restarted = known == nullptr ||
+                         known->started_at != read->started_at ||
+                         known->address != read->address;
+  const bool changed = restarted || known->draining != read->draining ||
+                       known->service != read->service;
+  if (restarted) {
+    this->forwarding.Forget(id);
+  }
+  if (changed) {
+    this->Log(LogLevel::kInfo, "worker registered",
+              {{"worker", id.value},
+               {"service", read->service},
+               {"address", read->address},
+               {"domain", read->domain.value},
+               {"draining", read->draining ? "true" : "false"},
+               {"revision", std::to_string(record.version)}});
+  }
+  this->directory.Put(*std::move(read));
+}
+
+bool GatewayHost::Ready(Instant now) const {
+  if (this->drain_began.has_value() || this->table == nullptr ||
+      !this->workers.Known()) {
+    return false;
+  }
+  const GatewayBounds& bounds = this->settings.bounds;
+  const bool keys_matter = bounds.strict_revocation && this->table->NeedsKeys();
+  return !keys_matter || this->deployments.Age(now) < bounds.revocation;
+}
+
+CallerBounds GatewayHost::Bounds() const {
+  return this->table == nullptr ? CallerBounds{}
+                                : this->table->Contents().bounds;
+}
+
+void GatewayHost::AnswerOperator(Instant now, const CallerRequest& request) {
+  int status = 200;
+  std::string type = "text/plain; charset=utf-8";
+  std::string body = "ok\n";
+  if (request.path == this->codec.ready_path) {
+    const bool ready = this->Ready(now);
+    status = ready ? 200 : 503;
+    body = ready ? "ready\n" : "not ready\n";
+  } else if (request.path == "/metrics") {
+    body = this->metrics.Render();
+  } else if (request.path == "/v1/requests") {
+    type = "application/json";
+    body = this->RenderRequests(now);
+  } else if (request.path != "/healthz") {
+    status = 404;
+    body = "no such page\n";
+  }
+  this->actions.emplace_back(
+      ReplyHead{request.id, status, {{"Content-Type", std::move(type)}}});
+  this->actions.emplace_back(ReplyBody{request.id, std::move(body)});
+  this->actions.emplace_back(ReplyEnd{request.id, false});
+}
+
+std::string GatewayHost::RenderRequests(Instant now) const {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [id, flow] : this->forwarding.Flows()) {
+    nlohmann::json workers = nlohmann::json::array();
+    for (const Attempt& attempt : flow.running) {
+      workers.push_back(attempt.worker.value);
+    }
+    rows.push_back({{"request", flow.terms.request_id},
+                    {"route", flow.route == nullptr ? "" : flow.route->name},
+                    {"age_seconds", ToSeconds(now - flow.arrived)},
+                    {"deadline_seconds", ToSeconds(flow.deadline - now)},
+                    {"delivering", flow.delivering},
+                    {"workers", std::move(workers)}});
+  }
+  const nlohmann::json page = {{"requests", std::move(rows)}};
+  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Actions GatewayHost::Collect(Instant now) {
+  this->latest = std::max(this->latest, now);
+  this->TakeResults(now);
+  if (this->drain_began.has_value()) {
+    const Duration since = now - *this->drain_began;
+    this->accepts_callers = since < kAcceptWhileDraining;
+    if (since >= this->settings.bounds.grace - kEndMargin) {
+      this->forwarding.EndAll(now);
+      this->accepts_callers = false;
+    }
+    this->ended = !this->accepts_callers && this->forwarding.Open() == 0;
+  }
+  const bool ready = this->Ready(now);
+  if (ready != this->told_ready) {
+    this->told_ready = ready;
+    this->Log(LogLevel::kInfo, ready ? "ready" : "not ready",
+              {{"configuration_age_ms", this->deployments.Known()
+                                            ? Millis(this->deployments.Age(now))
+                                            : "none"},
+               {"workers", std::to_string(this->directory.Size())}});
+  }
+  Actions collected = std::exchange(this->actions, {});
+  for (Actions more :
+       {this->store.TakeActions(), this->forwarding.TakeActions()}) {
+    std::move(more.begin(), more.end(), std::back_inserter(collected));
+  }
+  return collected;
+}
+
+Instant GatewayHost::NextWakeup() const {
+  Instant next =
+      std::min({this->store.NextWakeup(), this->deployments.NextWakeup(),
+                this->workers.NextWakeup(), this->directory.NextWakeup(),
+                this->forwarding.NextWakeup()});
+  if (this->drain_began.has_value()) {
+    const Instant end =
+        *this->drain_began + this->settings.bounds.grace - kEndMargin;
+    const Instant close = *this->drain_began + kAcceptWhileDraining;
+    next = std::min(next, this->accepts_callers ? std::min(close, end) : end);
+  }
+  return next;
+}
+
+bool GatewayHost::Drained() const { return this->ended; }
+
+}  // namespace limpetlink
--- a/src/leases/detail/lease.h
+++ b/src/leases/detail/lease.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "metadata_store/metadata_store.h"
 
 namespace limpetlink {
 
@@ -64,7 +64,7 @@
 class Lease {
  public:
   /// @param platform client to use; outlives this
-  Lease(LeaseSettings settings, PlatformClient* platform);
+  Lease(LeaseSettings settings, MetadataStoreClient* platform);
 
   /// @brief Begins to read, and to take the lease when it is free.
   void Start(Instant now);
@@ -74,7 +74,7 @@
 
   /// @brief Takes an operation's result.
   /// @return whether the operation was the lease's
-  bool OnPlatform(Instant now, const PlatformResult& result);
+  bool OnPlatform(Instant now, const StoreResult& result);
 
   /// @brief Lets time pass; a lease that ran out in a pause is lost here.
   void Tick(Instant now);
@@ -110,8 +110,8 @@
  private:
   void Read(Instant now);
   void Write(Instant now, const LeaseRecord& record, std::uint64_t base);
-  void HandleRead(Instant now, const PlatformResult& read);
-  void HandleWritten(Instant now, const PlatformResult& written);
+  void HandleRead(Instant now, const StoreResult& read);
+  void HandleWritten(Instant now, const StoreResult& written);
   void See(Instant now, std::uint64_t version, const LeaseRecord& record);
   void Hold(Instant now, Instant sent, std::uint64_t epoch);
   void Lose(Instant now);
@@ -119,7 +119,7 @@
   Instant Later(Instant now, Duration full);
 
   LeaseSettings settings;
-  PlatformClient* platform;
+  MetadataStoreClient* platform;
   Random random;
   bool started = false;
   bool candidate = true;
--- a/src/leases/lease.cc
+++ b/src/leases/lease.cc
@@ -28,7 +28,7 @@
                      value["epoch"].get<std::uint64_t>()};
 }
 
-Lease::Lease(LeaseSettings settings, PlatformClient* platform)
+Lease::Lease(LeaseSettings settings, MetadataStoreClient* platform)
     : settings(std::move(settings)),
       platform(platform),
       random(this->settings.seed ^ StableHash(this->settings.holder)) {}
@@ -74,7 +74,7 @@
   this->sent = now;
 }
 
-bool Lease::OnPlatform(Instant now, const PlatformResult& result) {
+bool Lease::OnPlatform(Instant now, const StoreResult& result) {
   if (this->op == 0 || result.op.value != this->op) {
     return false;
   }
@@ -87,8 +87,8 @@
   return true;
 }
 
-void Lease::HandleWritten(Instant now, const PlatformResult& written) {
-  if (written.status == PlatformStatus::kOk) {
+void Lease::HandleWritten(Instant now, const StoreResult& written) {
+  if (written.status == StoreStatus::kOk) {
     this->See(now, written.version, this->written);
     this->unresolved = kNever;
     if (!this->written.holder.empty()) {
@@ -97,21 +97,21 @@
     this->next = this->Later(now, this->settings.renew_every);
     return;
   }
-  if (written.status == PlatformStatus::kUnknown) {
+  if (written.status == StoreStatus::kUnknown) {
     this->unresolved = std::min(this->unresolved, this->sent);
   }
   // Lost, refused or beaten: only a read tells whose the lease is.
   this->must_read = true;
-  const bool at_once = written.status == PlatformStatus::kConflict ||
-                       written.status == PlatformStatus::kUnknown;
+  const bool at_once = written.status == StoreStatus::kConflict ||
+                       written.status == StoreStatus::kUnknown;
   const Duration wait =
       std::max(this->settings.poll_every / 3, written.retry_after);
   this->next = at_once ? now : this->Later(now, wait);
 }
 
-void Lease::HandleRead(Instant now, const PlatformResult& read) {
+void Lease::HandleRead(Instant now, const StoreResult& read) {
   this->next = this->Later(now, this->settings.poll_every);
-  if (read.status == PlatformStatus::kAbsent) {
+  if (read.status == StoreStatus::kAbsent) {
     this->must_read = false;
     this->Lose(now);
     if (this->candidate) {
@@ -119,7 +119,7 @@
     }
     return;
   }
-  const auto record = read.status == PlatformStatus::kOk
+  const auto record = read.status == StoreStatus::kOk
                           ? ReadLeaseRecord(read.bytes)
                           : std::nullopt;
   if (!record) {
--- a/src/leases/tests/lease_test.cc
+++ b/src/leases/tests/lease_test.cc
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "leases/leases.h"
-#include "platform/tests/fake_platform.h"
+#include "metadata_store/tests/fake_platform.h"
 
 namespace limpetlink {
 namespace {
@@ -20,7 +20,7 @@
 class LeaseFixture {
  public:
   struct Holder {
-    std::unique_ptr<PlatformClient> client;
+    std::unique_ptr<MetadataStoreClient> client;
     std::unique_ptr<Lease> lease;
     double rate = 1.0;
     Instant paused_until{};
@@ -36,9 +36,9 @@
     for (std::size_t i = 0; i < count; ++i) {
       Holder holder;
       holder.rate = 0.95 + 0.1 * this->random.Fraction();
-      PlatformSettings platform{"http://10.0.0.9:80", {50, 50, 50, 50}};
+      MetadataStoreSettings platform{"http://10.0.0.9:80", {50, 50, 50, 50}};
       platform.seed = seed + i;
-      holder.client = std::make_unique<PlatformClient>(
+      holder.client = std::make_unique<MetadataStoreClient>(
           platform, [this] { return CallId{++this->last_call}; });
       LeaseSettings settings;
       settings.name = "placement";
@@ -73,7 +73,7 @@
     const Instant local = this->Local(index);
     holder.lease->Tick(local);
     holder.client->Tick(local);
-    for (const PlatformResult& result : holder.client->TakeResults()) {
+    for (const StoreResult& result : holder.client->TakeResults()) {
       holder.lease->OnPlatform(local, result);
     }
     for (const Action& action : holder.client->TakeActions()) {
@@ -110,7 +110,7 @@
     this->queue.emplace(this->now + way, [this, index, call, answered, runs] {
       const auto answer =
           runs ? this->platform.Serve(call) : testing::FakePlatform::Answer{};
-      PlatformClient& client = *this->holders[index].client;
+      MetadataStoreClient& client = *this->holders[index].client;
       const Instant local = this->Local(index);
       if (!answered) {
         client.OnDone(local, {call.id, HttpEnd::kCut});
--- a/src/membership/detail/membership.h
+++ b/src/membership/detail/membership.h
@@ -15,7 +15,7 @@
 #include "base/base.h"
 #include "membership/detail/member.h"
 #include "membership/detail/messages.h"
-#include "platform/platform.h"
+#include "metadata_store/metadata_store.h"
 
 namespace limpetlink {
 
@@ -120,7 +120,7 @@
  public:
   /// @param settings who this host is, and times
   /// @param platform reads the host list; may be nullptr; outlives this
-  Membership(MembershipSettings settings, PlatformClient* platform);
+  Membership(MembershipSettings settings, MetadataStoreClient* platform);
 
   /// @brief Begins: asks the seeds and the host list.
   void Start(Instant now);
@@ -131,7 +131,7 @@
 
   /// @brief Takes an operation's result.
   /// @return whether the operation was the membership's
-  bool OnPlatform(Instant now, const PlatformResult& result);
+  bool OnPlatform(Instant now, const StoreResult& result);
 
   /// @brief Takes the platform's host list from elsewhere.
   void OnHostList(Instant now, const std::vector<ListedHost>& hosts);
@@ -249,7 +249,7 @@
   static std::uint64_t DigestOf(const Member& member);
 
   MembershipSettings settings;
-  PlatformClient* platform;
+  MetadataStoreClient* platform;
   Random random;
   Member self;
   std::uint32_t self_sends_left = 0;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -17,7 +17,8 @@
 
 }  // namespace
 
-Membership::Membership(MembershipSettings settings, PlatformClient* platform)
+Membership::Membership(MembershipSettings settings,
+                       MetadataStoreClient* platform)
     : settings(std::move(settings)),
       platform(platform),
       random(this->settings.seed ^ StableHash(this->settings.self.value)),
@@ -104,12 +105,12 @@
   }
 }
 
-bool Membership::OnPlatform(Instant now, const PlatformResult& result) {
+bool Membership::OnPlatform(Instant now, const StoreResult& result) {
   if (this->list_op == 0 || result.op.value != this->list_op) {
     return false;
   }
   this->list_op = 0;
-  if (result.status == PlatformStatus::kOk) {
+  if (result.status == StoreStatus::kOk) {
     this->OnHostList(now, result.hosts);
     this->actions.emplace_back(HostListRead{result.hosts});
   }
--- a/src/platform/detail/client.h
+++ b/src/metadata_store/detail/client.h
@@ -1,5 +1,5 @@
 /// @file
-/// @brief PlatformClient: typed operations over HTTP calls that the host's
+/// @brief MetadataStoreClient: typed operations over HTTP calls that the host's
 /// adapter carries.
 #pragma once
 
@@ -10,13 +10,14 @@
 #include <vector>
 
 #include "base/base.h"
-#include "platform/detail/types.h"
+#include "metadata_store/detail/dialect.h"
+#include "metadata_store/detail/types.h"
 #include "ports/ports.h"
 
 namespace limpetlink {
 
 /// @brief What a client is built with.
-struct PlatformSettings {
+struct MetadataStoreSettings {
   std::string url;  ///< "http://ip:port", without a slash at the end
   CallBudget budget;
   Duration call_timeout{std::chrono::seconds(2)};       ///< of one call
@@ -27,7 +28,10 @@
   std::uint32_t outage_after_failures = 4;  ///< in a row
   std::uint32_t max_in_flight = 16;         ///< calls, without watches
   std::uint32_t max_watches = 4;
+  Duration watch_margin{
+      std::chrono::seconds(2)};  ///< beyond a watch's own wait
   std::uint64_t seed = 1;
+  StoreDialect dialect = OwnStoreDialect();
 };
 
 /// @brief Makes the ids of HTTP calls; must be unique within the host.
@@ -43,51 +47,62 @@
 /// that probes.
 /// @note Example:
 /// @code
-/// PlatformClient client(settings, next_call_id);
-/// const PlatformOp op = client.Get(now, {"fleet", "today"});
+/// MetadataStoreClient client(settings, next_call_id);
+/// const StoreOp op = client.Get(now, {"fleet", "today"});
 /// for (Action& action : client.TakeActions()) { carry_out(action); }
 /// client.OnHead(now, head);  // and OnChunk, OnDone, Tick
-/// for (PlatformResult& result : client.TakeResults()) { route(result); }
+/// for (StoreResult& result : client.TakeResults()) { route(result); }
 /// @endcode
-class PlatformClient {
+class MetadataStoreClient {
  public:
   /// @param settings limits and times
   /// @param next_call_id makes ids for HTTP calls
-  PlatformClient(PlatformSettings settings, NextCallId next_call_id);
+  MetadataStoreClient(MetadataStoreSettings settings, NextCallId next_call_id);
 
   /// @brief Reads an object: kOk, kAbsent, kThrottled or kUnavailable.
-  PlatformOp Get(Instant now, const ObjectKey& key);
+  StoreOp Get(Instant now, const ObjectKey& key);
 
   /// @brief Writes an object, at most 1 MB.
   /// @return its operation; ends as any status but kAbsent and kUnchanged
-  PlatformOp Put(Instant now, const ObjectKey& key, std::string bytes,
-                 WriteCondition condition);
+  StoreOp Put(Instant now, const ObjectKey& key, std::string bytes,
+              WriteCondition condition);
 
   /// @brief Deletes an object; kAbsent when there is none.
-  PlatformOp Delete(Instant now, const ObjectKey& key,
-                    WriteCondition condition);
+  StoreOp Delete(Instant now, const ObjectKey& key, WriteCondition condition);
 
   /// @brief Lists objects of a kind in the order of their names.
   /// @param kind of objects
   /// @param prefix of their names
   /// @param after only names above this one
   /// @param limit most rows wanted
-  PlatformOp List(Instant now, const std::string& kind,
-                  const std::string& prefix, const std::string& after,
-                  std::uint32_t limit);
+  StoreOp List(Instant now, const std::string& kind, const std::string& prefix,
+               const std::string& after, std::uint32_t limit);
 
   /// @brief Waits for a version above the known one: kOk, kUnchanged, kAbsent,
   /// kThrottled or kUnavailable. A watch is one call and is never repeated.
   /// @param wait how long the platform holds the call at most
-  PlatformOp Watch(Instant now, const ObjectKey& key, std::uint64_t version,
-                   Duration wait);
+  StoreOp Watch(Instant now, const ObjectKey& key, std::uint64_t version,
+                Duration wait);
+
+  /// @brief Lists objects of a kind with their contents, in pages.
+  /// @param kind of objects
+  /// @param after only names above this one
+  StoreOp ListRecords(Instant now, const std::string& kind,
+                      const std::string& after);
+
+  /// @brief Waits for changes of any object of a kind: kOk with none or some
+  /// records, kHistoryGone, kThrottled or kUnavailable. Never repeated.
+  /// @param revision changes above it are wanted
+  /// @param wait how long the store holds the call at most
+  StoreOp WatchKind(Instant now, const std::string& kind,
+                    std::uint64_t revision, Duration wait);
 
   /// @brief Reads the host list.
-  PlatformOp Hosts(Instant now);
+  StoreOp Hosts(Instant now);
 
   /// @brief Gives an operation up; no result of it follows. A write may take
   /// effect all the same.
-  void Cancel(PlatformOp op);
+  void Cancel(StoreOp op);
 
   /// @brief Takes the head of an answer.
   /// @return whether the call is one of this client's
@@ -110,16 +125,16 @@
   Actions TakeActions();
 
   /// @brief Hands over the results since the last take.
-  std::vector<PlatformResult> TakeResults();
+  std::vector<StoreResult> TakeResults();
 
   /// @brief Changes the budget, as when the number of live hosts changes.
   void SetBudget(Instant now, const CallBudget& budget);
 
   /// @return what is known of the platform
-  const PlatformHealth& Health() const { return this->health; }
+  const StoreHealth& Health() const { return this->health; }
 
   /// @return calls counted since the start
-  const PlatformCounters& Counters() const { return this->counters; }
+  const StoreCounters& Counters() const { return this->counters; }
 
  private:
   /// @brief Calls allowed now, refilled at a rate.
@@ -135,42 +150,39 @@
 
   /// @brief An operation that has not ended.
   struct Pending {
-    PlatformResult result;
-    std::string path;
+    StoreResult result;
+    StoreRequest request;
     std::string body;
     WriteCondition condition;
     Instant deadline{};
     Instant not_before{};
     Instant call_deadline = kNever;
     Instant started{};
-    Duration wait{0};
     std::uint32_t attempts = 0;
     CallId call;
-    int status = 0;
-    Headers headers;
-    std::string answer;
+    StoreAnswer answer;
   };
 
-  PlatformOp Add(Instant now, Pending pending);
+  StoreOp Add(Instant now, StoreRequest request);
+  StoreOp Add(Instant now, Pending pending);
   void Pump(Instant now);
   bool TryStart(Instant now, std::uint64_t op, Pending* pending);
   void Start(Instant now, std::uint64_t op, Pending* pending);
   void FinishCall(Instant now, std::uint64_t op, HttpEnd end);
   void HandleAnswer(Instant now, std::uint64_t op, Pending* pending);
-  PlatformStatus ReadAnswer(Pending* pending);
   void HandleNoAnswer(Instant now, std::uint64_t op, HttpEnd end);
-  void RetryOrEnd(Instant now, std::uint64_t op, PlatformStatus status,
+  void RetryOrEnd(Instant now, std::uint64_t op, StoreStatus status,
                   Duration wait);
-  void End(std::uint64_t op, PlatformStatus status, Duration retry_after);
+  void End(std::uint64_t op, StoreStatus status, Duration retry_after);
   void NoteAnswered(Instant now, const Pending& pending);
   void NoteFailure(Instant now);
   void ExpireAt(Instant now);
   void EndQueuedInOutage(Instant now);
-  Bucket* BucketOf(PlatformVerb verb);
+  Bucket* BucketOf(StoreVerb verb);
   Duration Backoff(std::uint32_t attempts);
   std::uint32_t InFlight(bool watches) const;
 
-  PlatformSettings settings;
+  MetadataStoreSettings settings;
   NextCallId next_call_id;
   Random random;
   Bucket reads;
@@ -180,10 +192,10 @@
   std::uint64_t next_op = 1;
   Instant throttled_until{};
   Instant next_probe{};
-  PlatformHealth health;
-  PlatformCounters counters;
+  StoreHealth health;
+  StoreCounters counters;
   Actions actions;
-  std::vector<PlatformResult> results;
+  std::vector<StoreResult> results;
 };
 
 }  // namespace limpetlink
--- a/src/platform/detail/encode.h
+++ b/src/metadata_store/detail/encode.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/detail/types.h"
+#include "metadata_store/detail/types.h"
 #include "ports/ports.h"
 
 namespace limpetlink {
--- a/src/platform/detail/read_back.h
+++ b/src/metadata_store/detail/read_back.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <string_view>
 
-#include "platform/detail/types.h"
+#include "metadata_store/detail/types.h"
 
 namespace limpetlink {
 
@@ -45,13 +45,13 @@
 /// never being deleted.
 /// @note Example:
 /// @code
-/// if (result.status == PlatformStatus::kUnknown) { op = client.Get(now, key);
+/// if (result.status == StoreStatus::kUnknown) { op = client.Get(now, key);
 /// }
 /// // later, with the answer of that get:
 /// switch (ResolveByReadBack(condition, read, is_own)) { ... }
 /// @endcode
 WriteVerdict ResolveByReadBack(const WriteCondition& condition,
-                               const PlatformResult& read,
+                               const StoreResult& read,
                                const IsOwnWrite& is_own);
 
 }  // namespace limpetlink
--- a/src/platform/detail/types.h
+++ b/src/metadata_store/detail/types.h
@@ -10,8 +10,8 @@
 
 namespace limpetlink {
 
-/// @brief An operation of one PlatformClient.
-using PlatformOp = NumberId<struct PlatformOpTag>;
+/// @brief An operation of one MetadataStoreClient.
+using StoreOp = NumberId<struct StoreOpTag>;
 
 /// @brief Names an object.
 struct ObjectKey {
@@ -20,25 +20,32 @@
 };
 
 /// @brief What an operation does.
-enum class PlatformVerb {
+enum class StoreVerb {
   kGet,
   kPut,
   kDelete,
   kList,
   kWatch,
   kHosts,
+  kListRecords,  ///< objects of a kind with their contents
+  kWatchKind,    ///< changes of any object of a kind
 };
 
 template <>
-struct EnumTable<PlatformVerb> {
-  static constexpr EnumName<PlatformVerb> kRows[] = {
-      {PlatformVerb::kGet, "get"},       {PlatformVerb::kPut, "put"},
-      {PlatformVerb::kDelete, "delete"}, {PlatformVerb::kList, "list"},
-      {PlatformVerb::kWatch, "watch"},   {PlatformVerb::kHosts, "hosts"}};
+struct EnumTable<StoreVerb> {
+  static constexpr EnumName<StoreVerb> kRows[] = {
+      {StoreVerb::kGet, "get"},
+      {StoreVerb::kPut, "put"},
+      {StoreVerb::kDelete, "delete"},
+      {StoreVerb::kList, "list"},
+      {StoreVerb::kWatch, "watch"},
+      {StoreVerb::kHosts, "hosts"},
+      {StoreVerb::kListRecords, "list_records"},
+      {StoreVerb::kWatchKind, "watch_kind"}};
 };
 
 /// @brief How an operation ended.
-enum class PlatformStatus {
+enum class StoreStatus {
   kOk,           ///< done; version and bytes are set where they apply
   kAbsent,       ///< there is no such object
   kConflict,     ///< the write's condition failed; version is the current one
@@ -48,19 +55,22 @@
   kUnavailable,  ///< it did not run, or was a read without an answer
   kUnknown,      ///< a write whose answer was lost: it may yet take effect
   kRefused,      ///< the platform says that the call is wrong; it did not run
+  kHistoryGone,  ///< the store no longer holds the changes since the watched
+                 ///< revision
 };
 
 template <>
-struct EnumTable<PlatformStatus> {
-  static constexpr EnumName<PlatformStatus> kRows[] = {
-      {PlatformStatus::kOk, "ok"},
-      {PlatformStatus::kAbsent, "absent"},
-      {PlatformStatus::kConflict, "conflict"},
-      {PlatformStatus::kUnchanged, "unchanged"},
-      {PlatformStatus::kThrottled, "throttled"},
-      {PlatformStatus::kUnavailable, "unavailable"},
-      {PlatformStatus::kUnknown, "unknown"},
-      {PlatformStatus::kRefused, "refused"}};
+struct EnumTable<StoreStatus> {
+  static constexpr EnumName<StoreStatus> kRows[] = {
+      {StoreStatus::kOk, "ok"},
+      {StoreStatus::kAbsent, "absent"},
+      {StoreStatus::kConflict, "conflict"},
+      {StoreStatus::kUnchanged, "unchanged"},
+      {StoreStatus::kThrottled, "throttled"},
+      {StoreStatus::kUnavailable, "unavailable"},
+      {StoreStatus::kUnknown, "unknown"},
+      {StoreStatus::kRefused, "refused"},
+      {StoreStatus::kHistoryGone, "history_gone"}};
 };
 
 /// @brief What must hold for a write to take effect.
@@ -85,6 +95,14 @@
   std::uint64_t version = 0;
 };
 
+/// @brief An object of a kind, or the news that it was removed.
+struct ObjectRecord {
+  std::string name;
+  std::uint64_t version = 0;  ///< revision of its last change
+  bool deleted = false;
+  std::string bytes;  ///< what its writer stored, as JSON text
+};
+
 /// @brief What a listed host is for.
 enum class ListedRole { kEntry, kUpstream };
 
@@ -103,37 +121,42 @@
 };
 
 /// @brief An operation's one answer.
-struct PlatformResult {
-  PlatformOp op;
-  PlatformVerb verb = PlatformVerb::kGet;
-  PlatformStatus status = PlatformStatus::kUnavailable;
+struct StoreResult {
+  StoreOp op;
+  StoreVerb verb = StoreVerb::kGet;
+  StoreStatus status = StoreStatus::kUnavailable;
   ObjectKey key;
-  std::uint64_t version = 0;         ///< of the object, for kOk and kConflict
-  std::string bytes;                 ///< of the object, for get and watch
-  std::vector<ObjectEntry> objects;  ///< for list
-  std::vector<ListedHost> hosts;     ///< for hosts
+  std::uint64_t version = 0;          ///< of the object, for kOk and kConflict
+  std::string bytes;                  ///< of the object, for get and watch
+  std::vector<ObjectEntry> objects;   ///< for list
+  std::vector<ListedHost> hosts;      ///< for hosts
+  std::vector<ObjectRecord> records;  ///< for list_records and watch_kind
+  std::uint64_t revision = 0;  ///< of the store, for list_records, watch_kind
+  bool truncated = false;      ///< list_records: more follow the last record
+  Instant asked_at{};  ///< when the answered call left; what the answer says
+                       ///< held at that time or later
   Duration retry_after{0};  ///< when to ask again, for kThrottled/kUnavailable
 };
 
 /// @brief How the platform does, as seen by this host.
-enum class PlatformMode {
+enum class StoreMode {
   kNormal,
   kSlow,    ///< it answers, but takes long
   kOutage,  ///< several calls in a row had no answer; one call at a time probes
 };
 
 template <>
-struct EnumTable<PlatformMode> {
-  static constexpr EnumName<PlatformMode> kRows[] = {
-      {PlatformMode::kNormal, "normal"},
-      {PlatformMode::kSlow, "slow"},
-      {PlatformMode::kOutage, "outage"}};
+struct EnumTable<StoreMode> {
+  static constexpr EnumName<StoreMode> kRows[] = {
+      {StoreMode::kNormal, "normal"},
+      {StoreMode::kSlow, "slow"},
+      {StoreMode::kOutage, "outage"}};
 };
 
 /// @brief What is known of the platform; lets a caller judge how old its
 /// knowledge may be.
-struct PlatformHealth {
-  PlatformMode mode = PlatformMode::kNormal;
+struct StoreHealth {
+  StoreMode mode = StoreMode::kNormal;
   bool ever_answered = false;
   Instant last_answer{};  ///< of the last call that was answered
   Duration latency{0};    ///< moving mean of answered calls, without watches
@@ -156,7 +179,7 @@
 };
 
 /// @brief The platform's limits on the sum of calls.
-struct PlatformLimits {
+struct StoreLimits {
   double reads_per_second = 2000.0;
   double writes_per_second = 300.0;
 };
@@ -166,10 +189,10 @@
 /// @param limits of the platform
 /// @param live_hosts how many hosts share them; fewer than 6 counts as 6
 /// @return one host's budget; the sum of all hosts' stays at 80% of the limits
-CallBudget ShareOfLimits(const PlatformLimits& limits, std::size_t live_hosts);
+CallBudget ShareOfLimits(const StoreLimits& limits, std::size_t live_hosts);
 
 /// @brief Calls counted since the client was made.
-struct PlatformCounters {
+struct StoreCounters {
   std::uint64_t reads = 0;              ///< calls sent: get, list, hosts
   std::uint64_t watches = 0;            ///< calls sent: watch
   std::uint64_t writes = 0;             ///< calls sent: put, delete
--- a/src/platform/encode.cc
+++ b/src/metadata_store/encode.cc
@@ -1,8 +1,10 @@
-#include "platform/detail/encode.h"
+#include "metadata_store/detail/encode.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "metadata_store/detail/dialect.h"
+
 namespace limpetlink {
 namespace {
 
@@ -141,4 +143,62 @@
   return true;
 }
 
+namespace {
+
+std::string OwnTarget(const StoreRequest& request) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(request.wait);
+  switch (request.verb) {
+    case StoreVerb::kHosts:
+      return "/v1/hosts";
+    case StoreVerb::kList:
+      return "/v1/objects/" + PercentEncode(request.key.kind) +
+             "?prefix=" + PercentEncode(request.key.name) +
+             "&after=" + PercentEncode(request.after) +
+             "&limit=" + std::to_string(request.limit);
+    case StoreVerb::kWatch:
+      return ObjectPath(request.key) +
+             "?watch=" + std::to_string(request.version) +
+             "&wait_ms=" + std::to_string(milliseconds.count());
+    default:
+      return ObjectPath(request.key);
+  }
+}
+
+StoreStatus ReadOwnAnswer(StoreVerb verb, StoreAnswer* answer,
+                          StoreResult* result) {
+  const auto version = ReadVersion(answer->headers);
+  result->version = version.value_or(0);
+  if (answer->status == 404) {
+    return StoreStatus::kAbsent;
+  }
+  if (answer->status == 412) {
+    return StoreStatus::kConflict;
+  }
+  if (answer->status == 204 && verb == StoreVerb::kWatch) {
+    return StoreStatus::kUnchanged;
+  }
+  if (answer->status < 200 || answer->status >= 300) {
+    return StoreStatus::kRefused;
+  }
+  bool well_formed = true;
+  if (verb == StoreVerb::kList) {
+    well_formed = ReadObjects(answer->body, &result->objects);
+  } else if (verb == StoreVerb::kHosts) {
+    well_formed = ReadHosts(answer->body, &result->hosts);
+  } else if (verb != StoreVerb::kDelete) {
+    well_formed = version.has_value();
+    result->bytes = std::move(answer->body);
+  }
+  if (well_formed) {
+    return StoreStatus::kOk;
+  }
+  return verb == StoreVerb::kPut ? StoreStatus::kUnknown
+                                 : StoreStatus::kUnavailable;
+}
+
+}  // namespace
+
+StoreDialect OwnStoreDialect() { return {OwnTarget, ReadOwnAnswer}; }
+
 }  // namespace limpetlink
--- a/src/platform/read_back.cc
+++ b/src/metadata_store/read_back.cc
@@ -1,16 +1,16 @@
-#include "platform/platform.h"
+#include "metadata_store/metadata_store.h"
 
 namespace limpetlink {
 
 WriteVerdict ResolveByReadBack(const WriteCondition& condition,
-                               const PlatformResult& read,
+                               const StoreResult& read,
                                const IsOwnWrite& is_own) {
   const std::uint64_t base =
       condition.when == WriteWhen::kVersion ? condition.version : 0;
-  if (read.status == PlatformStatus::kAbsent) {
+  if (read.status == StoreStatus::kAbsent) {
     return base == 0 ? WriteVerdict::kRepeat : WriteVerdict::kNotTaken;
   }
-  if (read.status != PlatformStatus::kOk) {
+  if (read.status != StoreStatus::kOk) {
     return WriteVerdict::kNoAnswer;
   }
   if (read.version <= base) {
--- a/src/platform/tests/client_test.cc
+++ b/src/metadata_store/tests/client_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "platform/platform.h"
-#include "platform/tests/fake_platform.h"
+#include "metadata_store/metadata_store.h"
+#include "metadata_store/tests/fake_platform.h"
 
 namespace limpetlink {
 namespace {
@@ -37,7 +37,7 @@
     }
   }
 
-  PlatformResult Only() {
+  StoreResult Only() {
     const auto results = this->client.TakeResults();
     REQUIRE(results.size() == 1);
     return results.front();
@@ -54,7 +54,7 @@
   }
 
   std::uint64_t last_call = 0;
-  PlatformClient client;
+  MetadataStoreClient client;
   Instant now{seconds(100)};
 };
 
@@ -72,7 +72,7 @@
   }
   SECTION("no end ever comes") { this->Pass(seconds(6)); }
   SECTION("an error of a gateway") { this->Answer(calls[0], {502, 0, ""}); }
-  CHECK(this->Only().status == PlatformStatus::kUnknown);
+  CHECK(this->Only().status == StoreStatus::kUnknown);
   CHECK(this->Calls().empty());
 }
 
@@ -91,8 +91,8 @@
   const auto second = this->Calls();
   REQUIRE(second.size() == 1);
   this->Answer(second[0], {201, 1, ""});
-  const PlatformResult result = this->Only();
-  CHECK(result.status == PlatformStatus::kOk);
+  const StoreResult result = this->Only();
+  CHECK(result.status == StoreStatus::kOk);
   CHECK(result.version == 1);
 }
 
@@ -111,8 +111,8 @@
       this->Answer(call, {404, 0, ""});
     }
     this->Pass(milliseconds(50));
-    for (const PlatformResult& result : this->client.TakeResults()) {
-      throttled += result.status == PlatformStatus::kThrottled ? 1 : 0;
+    for (const StoreResult& result : this->client.TakeResults()) {
+      throttled += result.status == StoreStatus::kThrottled ? 1 : 0;
     }
   }
   CHECK(sent <= 12 + 5 * 3);  // burst, then three a second for five seconds
@@ -130,11 +130,11 @@
     }
   }
   this->client.TakeResults();
-  REQUIRE(this->client.Health().mode == PlatformMode::kOutage);
+  REQUIRE(this->client.Health().mode == StoreMode::kOutage);
   this->client.Get(this->now, {"fleet", "a"});
   CHECK(this->Calls().empty());
-  const PlatformResult refused = this->Only();
-  CHECK(refused.status == PlatformStatus::kUnavailable);
+  const StoreResult refused = this->Only();
+  CHECK(refused.status == StoreStatus::kUnavailable);
   CHECK(refused.retry_after > Duration{0});
   this->now += refused.retry_after;
   this->client.Get(this->now, {"fleet", "a"});
@@ -142,7 +142,7 @@
   REQUIRE(probe.size() == 1);
   this->Answer(probe[0], {200, 7, "x"});
   CHECK(this->Only().version == 7);
-  CHECK(this->client.Health().mode == PlatformMode::kNormal);
+  CHECK(this->client.Health().mode == StoreMode::kNormal);
   CHECK(this->client.Health().Staleness(this->now + seconds(2)) == seconds(2));
 }
 
@@ -157,8 +157,8 @@
   }
   const auto results = this->client.TakeResults();
   REQUIRE(results.size() == 3);
-  for (const PlatformResult& result : results) {
-    CHECK(result.status == PlatformStatus::kUnavailable);
+  for (const StoreResult& result : results) {
+    CHECK(result.status == StoreStatus::kUnavailable);
   }
 }
 
--- a/src/platform/tests/fake_platform.cc
+++ b/src/metadata_store/tests/fake_platform.cc
@@ -1,4 +1,4 @@
-#include "platform/tests/fake_platform.h"
+#include "metadata_store/tests/fake_platform.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/tests/read_back_test.cc
+++ b/src/metadata_store/tests/read_back_test.cc
@@ -1,22 +1,22 @@
 #include <catch2/catch.hpp>
 
-#include "platform/platform.h"
+#include "metadata_store/metadata_store.h"
 
 namespace limpetlink {
 namespace {
 
 class ReadBackFixture {
  public:
-  static PlatformResult Read(PlatformStatus status, std::uint64_t version,
-                             const std::string& bytes) {
-    PlatformResult read;
+  static StoreResult Read(StoreStatus status, std::uint64_t version,
+                          const std::string& bytes) {
+    StoreResult read;
     read.status = status;
     read.version = version;
     read.bytes = bytes;
     return read;
   }
 
-  static WriteVerdict Resolve(const PlatformResult& read) {
+  static WriteVerdict Resolve(const StoreResult& read) {
     const auto is_own = [](std::string_view bytes) { return bytes == "mine"; };
     return ResolveByReadBack(WriteCondition::IfVersion(4), read, is_own);
   }
@@ -25,7 +25,7 @@
 TEST_CASE_METHOD(ReadBackFixture,
                  "read back, each state of the object, gives the verdict that "
                  "is true of the lost write") {
-  using Status = PlatformStatus;
+  using Status = StoreStatus;
   CHECK(Resolve(Read(Status::kOk, 5, "mine")) == WriteVerdict::kTookEffect);
   CHECK(Resolve(Read(Status::kOk, 5, "other")) == WriteVerdict::kNotTaken);
   CHECK(Resolve(Read(Status::kOk, 4, "base")) == WriteVerdict::kRepeat);
--- a/src/operators/detail/platform_access.h
+++ b/src/operators/detail/platform_access.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "configuration/configuration.h"
+#include "metadata_store/metadata_store.h"
 #include "operators/detail/blocking_http.h"
-#include "platform/platform.h"
 
 namespace limpetlink {
 
@@ -27,7 +27,7 @@
 /// @code
 /// PlatformAccess platform("http://127.0.0.1:8500", ExchangeOverCurl,
 ///                         SystemWaitHooks());
-/// const PlatformResult fleet = platform.Get({"fleet", "swan-coast"});
+/// const StoreResult fleet = platform.Get({"fleet", "swan-coast"});
 /// @endcode
 class PlatformAccess {
  public:
@@ -38,15 +38,15 @@
                  WaitHooks hooks);
 
   /// @brief Reads an object.
-  PlatformResult Get(const ObjectKey& key);
+  StoreResult Get(const ObjectKey& key);
 
   /// @brief Lists objects of a kind.
   /// @param after only names above this one
-  PlatformResult List(const std::string& kind, const std::string& prefix,
-                      const std::string& after, std::uint32_t limit);
+  StoreResult List(const std::string& kind, const std::string& prefix,
+                   const std::string& after, std::uint32_t limit);
 
   /// @brief Reads the host list.
-  PlatformResult Hosts();
+  StoreResult Hosts();
 
   /// @brief Applies a change of the fleet document.
   /// @param change what is wanted
@@ -54,17 +54,17 @@
   ApplyResult Apply(const FleetChange& change, Duration limit);
 
  private:
-  using TakeResult = std::function<void(const PlatformResult& result)>;
+  using TakeResult = std::function<void(const StoreResult& result)>;
 
   void Carry(const HttpCall& call);
   bool Advance(const TakeResult& take);
   void SleepUntil(Instant until);
-  PlatformResult RunToEnd(PlatformOp op);
+  StoreResult RunToEnd(StoreOp op);
 
   HttpExchange exchange;
   WaitHooks hooks;
   std::uint64_t last_call = 0;
-  PlatformClient client;
+  MetadataStoreClient client;
 };
 
 }  // namespace limpetlink
--- a/src/operators/fleet_changes.cc
+++ b/src/operators/fleet_changes.cc
@@ -11,7 +11,7 @@
 constexpr std::size_t kChangeIdDigits = 32;
 constexpr char kSeparator = '\n';
 
-absl::Status Unreachable(const PlatformResult& result) {
+absl::Status Unreachable(const StoreResult& result) {
   const std::string_view status = ToText(result.status);
   return MakeStatus(ErrorCode::kPlatformUnavailable, status);
 }
@@ -32,11 +32,11 @@
 
 absl::StatusOr<StoredFleet> FetchFleet(PlatformAccess* platform,
                                        const std::string& name) {
-  const PlatformResult read = platform->Get({std::string(kFleetKind), name});
-  if (read.status == PlatformStatus::kAbsent) {
+  const StoreResult read = platform->Get({std::string(kFleetKind), name});
+  if (read.status == StoreStatus::kAbsent) {
     return StoredFleet();
   }
-  if (read.status != PlatformStatus::kOk) {
+  if (read.status != StoreStatus::kOk) {
     return Unreachable(read);
   }
   FleetParseResult parsed = ParseFleet(read.bytes);
@@ -74,15 +74,15 @@
       current.version - std::min<std::uint64_t>(current.version - 1, limit - 1);
   for (std::uint64_t version = current.version - 1; version >= first;
        --version) {
-    const PlatformResult read =
+    const StoreResult read =
         platform->Get({kind, HistoryName(current.document.name, version)});
-    const bool answered = read.status == PlatformStatus::kOk ||
-                          read.status == PlatformStatus::kAbsent;
+    const bool answered =
+        read.status == StoreStatus::kOk || read.status == StoreStatus::kAbsent;
     if (!answered) {
       return Unreachable(read);
     }
     const auto revision = ParseRevision(read.bytes);
-    if (read.status == PlatformStatus::kOk && revision) {
+    if (read.status == StoreStatus::kOk && revision) {
       revisions.push_back(*revision);
     }
   }
--- a/src/operators/platform_access.cc
+++ b/src/operators/platform_access.cc
@@ -14,8 +14,8 @@
 /// Longest pause between two looks at the client.
 constexpr std::chrono::milliseconds kLongestPause{100};
 
-PlatformSettings SettingsFor(const std::string& url) {
-  PlatformSettings settings;
+MetadataStoreSettings SettingsFor(const std::string& url) {
+  MetadataStoreSettings settings;
   settings.url = url;
   settings.budget = kOperatorBudget;
   return settings;
@@ -41,19 +41,19 @@
       hooks(std::move(hooks)),
       client(SettingsFor(url), [this] { return CallId{++this->last_call}; }) {}
 
-PlatformResult PlatformAccess::Get(const ObjectKey& key) {
+StoreResult PlatformAccess::Get(const ObjectKey& key) {
   return this->RunToEnd(this->client.Get(this->hooks.now(), key));
 }
 
-PlatformResult PlatformAccess::List(const std::string& kind,
-                                    const std::string& prefix,
-                                    const std::string& after,
-                                    std::uint32_t limit) {
+StoreResult PlatformAccess::List(const std::string& kind,
+                                 const std::string& prefix,
+                                 const std::string& after,
+                                 std::uint32_t limit) {
   return this->RunToEnd(
       this->client.List(this->hooks.now(), kind, prefix, after, limit));
 }
 
-PlatformResult PlatformAccess::Hosts() {
+StoreResult PlatformAccess::Hosts() {
   return this->RunToEnd(this->client.Hosts(this->hooks.now()));
 }
 
@@ -61,7 +61,7 @@
   ApplyFleet apply(&this->client, change, limit);
   apply.Start(this->hooks.now());
   while (!apply.Result()) {
-    const bool moved = this->Advance([&](const PlatformResult& result) {
+    const bool moved = this->Advance([&](const StoreResult& result) {
       apply.OnPlatform(this->hooks.now(), result);
     });
     if (!moved && !apply.Result()) {
@@ -93,8 +93,8 @@
       this->Carry(*call);
     }
   }
-  const std::vector<PlatformResult> results = this->client.TakeResults();
-  for (const PlatformResult& result : results) {
+  const std::vector<StoreResult> results = this->client.TakeResults();
+  for (const StoreResult& result : results) {
     take(result);
   }
   return !actions.empty() || !results.empty();
@@ -106,10 +106,10 @@
   this->client.Tick(this->hooks.now());
 }
 
-PlatformResult PlatformAccess::RunToEnd(PlatformOp op) {
-  std::optional<PlatformResult> ended;
+StoreResult PlatformAccess::RunToEnd(StoreOp op) {
+  std::optional<StoreResult> ended;
   while (!ended) {
-    const bool moved = this->Advance([&](const PlatformResult& result) {
+    const bool moved = this->Advance([&](const StoreResult& result) {
       if (result.op == op) {
         ended = result;
       }
--- a/src/placement/detail/controller.h
+++ b/src/placement/detail/controller.h
@@ -12,8 +12,8 @@
 #include "base/base.h"
 #include "fleet/fleet.h"
 #include "leases/leases.h"
+#include "metadata_store/metadata_store.h"
 #include "placement/detail/engine.h"
-#include "platform/platform.h"
 #include "ports/ports.h"
 
 namespace limpetlink {
--- a/src/placement/detail/placement_host.h
+++ b/src/placement/detail/placement_host.h
@@ -9,8 +9,8 @@
 
 #include "configuration/configuration.h"
 #include "leases/leases.h"
+#include "metadata_store/metadata_store.h"
 #include "placement/detail/controller.h"
-#include "platform/platform.h"
 #include "ports/ports.h"
 
 namespace limpetlink {
@@ -71,7 +71,7 @@
   PlacementHostSettings settings;
   Instant now;
   std::uint64_t last_call = 0;
-  PlatformClient platform;
+  MetadataStoreClient platform;
   ConfigurationStore configuration;
   Lease lease;
   PlacementController controller;
--- a/src/placement/placement_host.cc
+++ b/src/placement/placement_host.cc
@@ -9,8 +9,9 @@
 /// How long giving the lease back may take; after that it lapses by itself.
 constexpr Duration kReleaseLimit = std::chrono::seconds(2);
 
-PlatformSettings PlatformSettingsOf(const PlacementHostSettings& settings) {
-  PlatformSettings platform;
+MetadataStoreSettings PlatformSettingsOf(
+    const PlacementHostSettings& settings) {
+  MetadataStoreSettings platform;
   platform.url = settings.platform_url;
   platform.seed = StableHash("platform", settings.seed);
   return platform;
@@ -129,7 +130,7 @@
 }
 
 Actions PlacementHost::Settle() {
-  for (const PlatformResult& result : this->platform.TakeResults()) {
+  for (const StoreResult& result : this->platform.TakeResults()) {
     if (!this->lease.OnPlatform(this->now, result)) {
       this->configuration.OnPlatform(this->now, result);
     }
--- a/src/placement/tests/placement_test.cc
+++ b/src/placement/tests/placement_test.cc
@@ -8,7 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-#include "platform/tests/fake_platform.h"
+#include "metadata_store/tests/fake_platform.h"
 
 namespace limpetlink {
 namespace {
@@ -33,7 +33,7 @@
 
 /// @brief One host that may hold the lease.
 struct FakeHost {
-  std::unique_ptr<PlatformClient> client;
+  std::unique_ptr<MetadataStoreClient> client;
   std::unique_ptr<Lease> lease;
   std::unique_ptr<PlacementController> controller;
   Instant paused_until{};
@@ -62,8 +62,9 @@
   void AddHost(const std::string& name) {
     const auto next_call = [this] { return CallId{++this->last_call}; };
     FakeHost host;
-    host.client = std::make_unique<PlatformClient>(
-        PlatformSettings{"http://platform:1", {50, 50, 50, 50}}, next_call);
+    host.client = std::make_unique<MetadataStoreClient>(
+        MetadataStoreSettings{"http://platform:1", {50, 50, 50, 50}},
+        next_call);
     LeaseSettings lease;
     lease.name = "placement";
     lease.holder = name;
@@ -111,7 +112,7 @@
         this->Carry(host, *call);
       }
     }
-    for (const PlatformResult& result : host->client->TakeResults()) {
+    for (const StoreResult& result : host->client->TakeResults()) {
       host->lease->OnPlatform(this->now, result);
     }
   }
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -62,6 +62,9 @@
   std::string body;
   bool body_too_large =
       false;  ///< the body passed the adapter's bound and was dropped
+  std::string target{};  ///< path and query byte for byte as sent, where the
+                         ///< adapter keeps them
+  bool for_operators = false;  ///< came in at the operators' address
 };
 
 /// @brief The caller closed its connection; nothing sent to it arrives any
--- a/src/retries/retries.h
+++ b/src/retries/retries.h
@@ -5,3 +5,4 @@
 
 #include "retries/detail/budget.h"
 #include "retries/detail/hedge.h"
+#include "retries/detail/window_budget.h"
--- /dev/null
+++ b/src/routing/detail/load_table.h
@@ -0,0 +1,99 @@
+/// @file
+/// @brief Estimates the load of each worker and chooses the one for a request.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/base.h"
+#include "routing/detail/health.h"
+#include "routing/detail/router.h"
+
+namespace limpetlink {
+
+/// @brief What a worker said of its load.
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// @brief What a request will take at a worker.
+struct RequestSize {
+  std::uint64_t tokens = 0;  ///< of memory when it has ended; 0 when its
+                             ///< service runs no model
+};
+
+/// @brief A worker that may be chosen.
+struct LoadCandidate {
+  UpstreamId worker;
+  Distance distance = Distance::kSameDomain;
+  std::uint32_t slots = 1;
+  std::uint64_t memory_tokens = 0;  ///< 0: its service runs no model
+};
+
+/// @brief The chosen worker and the inputs of the choice.
+struct LoadChoice {
+  UpstreamId worker;
+  double load = 0;                ///< estimated, 1 being full
+  std::uint32_t own_running = 0;  ///< requests of this host there
+  std::optional<Duration> report_age;
+};
+
+/// @brief Keeps, for each worker, this host's own requests, the worker's last
+/// report and how often it failed. Reports lag and all hosts read the same
+/// ones; own requests begun after a report are counted on top of it.
+class LoadTable {
+ public:
+  /// @param seed of the random part of the choice, which keeps hosts that know
+  /// the same from choosing the same
+  explicit LoadTable(std::uint64_t seed) : random(seed) {}
+
+  /// @brief A request was sent to the worker.
+  void Begin(Instant now, const UpstreamId& worker, const RequestSize& size);
+
+  /// @brief A request that was sent there has ended.
+  void End(Instant now, const UpstreamId& worker, const RequestSize& size);
+
+  /// @brief The worker reported its load.
+  void Report(Instant now, const UpstreamId& worker, const LoadReport& report);
+
+  /// @brief An attempt ended at the worker.
+  /// @param failed the worker did not answer as it should
+  /// @param silent no answer came at all
+  void Note(Instant now, const UpstreamId& worker, bool failed, bool silent);
+
+  /// @brief Forgets a worker; also when it starts again under its id.
+  void Forget(const UpstreamId& worker);
+
+  /// @brief Chooses the worker with the least estimated load, near ones first.
+  /// Ejected workers are taken only when there is no other.
+  /// @param candidates workers that take new work
+  /// @return the choice, or nothing when there is no candidate
+  std::optional<LoadChoice> Choose(Instant now,
+                                   const std::vector<LoadCandidate>& candidates,
+                                   const RequestSize& size);
+
+ private:
+  struct Entry {
+    std::uint32_t running = 0;
+    std::uint64_t tokens = 0;
+    std::uint32_t begun_since_report = 0;
+    std::uint32_t own_at_report = 0;
+    LoadReport report;
+    Instant reported_at{};
+    bool reported = false;
+    double failures = 0;  ///< share of the latest attempts
+    WorkerHealth health;
+  };
+
+  double LoadOf(Instant now, const Entry& entry, const LoadCandidate& candidate,
+                const RequestSize& size) const;
+
+  std::map<UpstreamId, Entry> entries;
+  Random random;
+};
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/routing/load_table.cc
@@ -0,0 +1,127 @@
+#include <algorithm>
+
+#include "routing/routing.h"
+
+namespace limpetlink {
+namespace {
+
+// A report tells nothing of what other hosts do now once it is this old.
+constexpr Duration kReportLife = std::chrono::milliseconds(1500);
+// Load that a worker farther away must have less to be chosen: a round trip
+// between regions is billed and takes as long as an order's work.
+constexpr double kOtherDomain = 0.10;
+constexpr double kOtherRegion = 0.30;
+constexpr double kRandomPart = 0.04;
+// Weight of the newest attempt in a worker's share of failures.
+constexpr double kNewestFailure = 0.15;
+// Load that a worker which fails every attempt is counted to have on top.
+constexpr double kFailureLoad = 1.5;
+// Memory that a request of another host is counted to hold.
+constexpr double kOtherRequestTokens = 3000.0;
+
+double DistanceLoad(Distance distance) {
+  switch (distance) {
+    case Distance::kSameDomain:
+      return 0;
+    case Distance::kSameRegion:
+      return kOtherDomain;
+    case Distance::kOtherRegion:
+      return kOtherRegion;
+  }
+  return kOtherRegion;
+}
+
+}  // namespace
+
+void LoadTable::Begin(Instant /*now*/, const UpstreamId& worker,
+                      const RequestSize& size) {
+  Entry& entry = this->entries[worker];
+  ++entry.running;
+  ++entry.begun_since_report;
+  entry.tokens += size.tokens;
+}
+
+void LoadTable::End(Instant /*now*/, const UpstreamId& worker,
+                    const RequestSize& size) {
+  const auto found = this->entries.find(worker);
+  if (found == this->entries.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.running -= std::min(entry.running, 1U);
+  entry.tokens -= std::min(entry.tokens, size.tokens);
+}
+
+void LoadTable::Report(Instant now, const UpstreamId& worker,
+                       const LoadReport& report) {
+  Entry& entry = this->entries[worker];
+  entry.report = report;
+  entry.reported_at = now;
+  entry.reported = true;
+  entry.begun_since_report = 0;
+  entry.own_at_report = entry.running;
+}
+
+void LoadTable::Note(Instant now, const UpstreamId& worker, bool failed,
+                     bool silent) {
+  Entry& entry = this->entries[worker];
+  entry.failures += kNewestFailure * ((failed ? 1.0 : 0.0) - entry.failures);
+  if (silent) {
+    entry.health.Failed(now, false);
+  } else {
+    entry.health.Succeeded(now);
+  }
+}
+
+void LoadTable::Forget(const UpstreamId& worker) {
+  this->entries.erase(worker);
+}
+
+double LoadTable::LoadOf(Instant now, const Entry& entry,
+                         const LoadCandidate& candidate,
+                         const RequestSize& size) const {
+  const bool fresh = entry.reported && now - entry.reported_at <= kReportLife;
+  std::uint32_t others = 0;
+  if (fresh) {
+    const std::uint32_t told = entry.report.running + entry.report.waiting;
+    others = told - std::min(told, entry.own_at_report);
+  }
+  const double slots = std::max(1U, candidate.slots);
+  double load = (entry.running + others + 1.0) / slots;
+  if (candidate.memory_tokens > 0) {
+    const double memory = static_cast<double>(entry.tokens + size.tokens) +
+                          kOtherRequestTokens * others;
+    load =
+        std::max(load, memory / static_cast<double>(candidate.memory_tokens));
+  }
+  return load + kFailureLoad * entry.failures;
+}
+
+std::optional<LoadChoice> LoadTable::Choose(
+    Instant now, const std::vector<LoadCandidate>& candidates,
+    const RequestSize& size) {
+  std::optional<LoadChoice> best;
+  double best_score = 0;
+  bool best_ejected = true;
+  for (const LoadCandidate& candidate : candidates) {
+    const Entry& entry = this->entries[candidate.worker];
+    const double load = this->LoadOf(now, entry, candidate, size);
+    const double score = load + DistanceLoad(candidate.distance) +
+                         kRandomPart * this->random.Fraction();
+    const bool ejected = entry.health.Ejected(now);
+    const bool better = !best.has_value() || (best_ejected && !ejected) ||
+                        (ejected == best_ejected && score < best_score);
+    if (!better) {
+      continue;
+    }
+    best_score = score;
+    best_ejected = ejected;
+    best = LoadChoice{candidate.worker, load, entry.running, std::nullopt};
+    if (entry.reported) {
+      best->report_age = now - entry.reported_at;
+    }
+  }
+  return best;
+}
+
+}  // namespace limpetlink
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -3,5 +3,6 @@
 #pragma once
 
 #include "routing/detail/health.h"
+#include "routing/detail/load_table.h"
 #include "routing/detail/prefixes.h"
 #include "routing/detail/router.h"
--- a/tests/hosts/host_group.cc
+++ b/tests/hosts/host_group.cc
@@ -59,11 +59,11 @@
   host.wake = kNever;
   const std::uint64_t seed =
       this->options.seed * 1000003 + index * 101 + host.boots;
-  PlatformSettings platform;
+  MetadataStoreSettings platform;
   platform.url = "http://10.0.0.9:80";
   platform.budget = ShareOfLimits({}, this->options.hosts);
   platform.seed = seed;
-  host.client = std::make_unique<PlatformClient>(
+  host.client = std::make_unique<MetadataStoreClient>(
       platform, [this] { return CallId{++this->next_call}; });
   MembershipSettings membership = this->options.membership;
   membership.self = host.id;
@@ -183,7 +183,7 @@
       this->CarryCall(index, *call);
     }
   }
-  for (const PlatformResult& result : host.client->TakeResults()) {
+  for (const StoreResult& result : host.client->TakeResults()) {
     any = true;
     this->RouteResult(index, result);
   }
@@ -202,7 +202,7 @@
   return any;
 }
 
-void HostGroup::RouteResult(std::size_t index, const PlatformResult& result) {
+void HostGroup::RouteResult(std::size_t index, const StoreResult& result) {
   GroupHost& host = this->hosts[index];
   if (!host.membership->OnPlatform(this->now, result)) {
     host.configuration->OnPlatform(this->now, result);
@@ -325,7 +325,7 @@
 }
 
 void HostGroup::GiveEvent(std::size_t index, const Event& event) {
-  PlatformClient& client = *this->hosts[index].client;
+  MetadataStoreClient& client = *this->hosts[index].client;
   if (const auto* head = std::get_if<HttpHead>(&event)) {
     client.OnHead(this->now, *head);
   } else if (const auto* chunk = std::get_if<HttpChunk>(&event)) {
--- a/tests/hosts/host_group.h
+++ b/tests/hosts/host_group.h
@@ -12,9 +12,9 @@
 
 #include "configuration/configuration.h"
 #include "membership/membership.h"
+#include "metadata_store/metadata_store.h"
+#include "metadata_store/tests/fake_platform.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
-#include "platform/tests/fake_platform.h"
 
 namespace limpetlink::testing {
 
@@ -37,7 +37,7 @@
   std::uint64_t boots = 0;
   bool up = false;
   Instant frozen_until{};
-  std::unique_ptr<PlatformClient> client;
+  std::unique_ptr<MetadataStoreClient> client;
   std::unique_ptr<Membership> membership;
   std::unique_ptr<ConfigurationStore> configuration;
   Instant wake = kNever;
@@ -114,7 +114,7 @@
   void Schedule(Instant at, std::size_t host, std::function<void()> run);
   void Settle(std::size_t index);
   bool SettleOnce(std::size_t index);
-  void RouteResult(std::size_t index, const PlatformResult& result);
+  void RouteResult(std::size_t index, const StoreResult& result);
   void HandleMembership(std::size_t index, const MembershipAction& action);
   void SendFrame(std::size_t from, const HostId& to, PeerKind kind,
                  const std::string& payload);
