--- a/src/gateway/detail/event_splitter.h
+++ b/src/gateway/detail/event_splitter.h
@@ -27,6 +27,9 @@
   /// @brief Takes bytes in the order of the stream.
   SplitEvents Push(std::string_view bytes);
 
+  /// @brief Drops the begun event; the stream goes on after the last whole one.
+  void DropPartial();
+
   /// @return bytes of an event that is not whole
   std::size_t Held() const { return this->held.size(); }
 
--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -27,6 +27,32 @@
   bool paused = false;    ///< the caller is behind
 };
 
+/// @brief What is being done to move a stream off its worker.
+enum class MovePhase {
+  kScheduled,  ///< its copy begins later
+  kCopying,    ///< the run goes on meanwhile
+  kFinishing,  ///< the run was told to stop
+  kStopped,    ///< the last part is copied; the source's stream is to end
+};
+
+/// @brief A stream's move from one worker to another.
+struct StreamMove {
+  MovePhase phase = MovePhase::kScheduled;
+  UpstreamId source;
+  std::string source_address;
+  UpstreamId destination;
+  std::vector<UpstreamId> refused;  ///< had no room
+  CallId call;                      ///< the order in progress
+  int status = 0;
+  std::string body;
+  std::string handle;      ///< of the newest copy
+  bool at_source = false;  ///< the handle is good at the source only
+  bool source_ended = false;
+  Instant noticed{};
+  Instant stopped{};
+  std::uint32_t tries = 0;
+};
+
 /// @brief A request without its final answer.
 struct Forwarded {
   CallerRequest request;
@@ -49,6 +75,7 @@
   EventSplitter events;
   std::size_t buffered = 0;  ///< bytes of the answer that the caller lacks
   Instant last_event{};
+  std::optional<StreamMove> move;
 
   bool Idempotent() const {
     return this->route->kind == RouteKind::kIdempotent;
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -52,6 +52,10 @@
   bool OnChunk(Instant now, const HttpChunk& chunk);
   bool OnDone(Instant now, const HttpDone& done);
 
+  /// @brief A worker takes no new work and will be gone soon: its streams
+  /// move.
+  void OnLeaving(Instant now, const WorkerRegistration& worker);
+
   /// @brief A worker has left or started anew.
   void Forget(const UpstreamId& worker) { this->loads.Forget(worker); }
 
@@ -71,7 +75,16 @@
   Actions TakeActions() { return std::exchange(this->actions, {}); }
 
  private:
-  enum class TimerKind { kDeadline, kHedge };
+  enum class TimerKind { kDeadline, kHedge, kMove };
+
+  /// @brief A leaving worker was asked what it runs.
+  struct ReportCall {
+    WorkerRegistration worker;
+    Instant noticed{};
+    int status = 0;
+    std::string body;
+  };
+
   struct Timer {
     Instant due;
     std::uint64_t flow;
@@ -103,6 +116,30 @@
   void ReachDeadline(Instant now, std::uint64_t id);
   void Hedge(Instant now, Forwarded* flow);
   void ReplyProblem(Instant now, const RequestId& id, const Problem& problem);
+  HttpCall CallFor(Instant now, const Forwarded& flow, const Attempt& attempt,
+                   const std::string& address,
+                   std::optional<ResumeTerms> resume) const;
+  std::vector<LoadCandidate> Candidates(const Forwarded& flow) const;
+  Distance DistanceTo(const FailureDomainId& domain) const;
+
+  // Moves; in forwarding_moves.cc.
+  bool OnMoveCall(Instant now, const HttpDone& done);
+  bool TakeMoveHead(const HttpHead& head);
+  bool TakeMoveChunk(const HttpChunk& chunk);
+  void TakeReport(Instant now, const ReportCall& call);
+  void ScheduleMove(Instant now, Forwarded* flow, const ReportCall& call,
+                    const UpstreamId& destination, Instant due);
+  void StepMove(Instant now, Forwarded* flow);
+  bool ChooseDestination(Instant now, Forwarded* flow);
+  void OrderCopy(Instant now, Forwarded* flow, bool last);
+  void TakeMoveAnswer(Instant now, Forwarded* flow, const MoveAnswer& answer);
+  void TakeCopied(Instant now, Forwarded* flow, const std::string& handle);
+  void RetryMove(Instant now, Forwarded* flow, Duration pause);
+  void Resume(Instant now, Forwarded* flow);
+  bool HoldsForMove(Instant now, Forwarded* flow, const Attempt& attempt,
+                    AttemptEnd end);
+  void AbandonMove(Instant now, Forwarded* flow);
+
   Headers ReplyHeaders(Instant now, Headers headers) const;
   Duration ComeBack(Instant now, const Forwarded& flow);
   WindowBudget& BudgetOf(const std::string& service);
@@ -121,6 +158,9 @@
   std::map<std::uint64_t, Forwarded> flows;
   std::unordered_map<std::uint64_t, std::uint64_t> flow_of_call;
   std::set<Timer> timers;
+  std::unordered_map<std::uint64_t, std::uint64_t> flow_of_move;
+  std::unordered_map<std::uint64_t, ReportCall> reports;
+  std::set<std::uint64_t> releases;  ///< calls whose answer decides nothing
   Actions actions;
 };
 
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -49,6 +49,11 @@
   return true;
 }
 
+void EventSplitter::DropPartial() {
+  this->held.clear();
+  this->scanned = 0;
+}
+
 SplitEvents EventSplitter::Push(std::string_view bytes) {
   SplitEvents split;
   this->held.append(bytes);
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -196,67 +196,86 @@
 
 // ---- Sending ----
 
-std::optional<LoadChoice> Forwarding::ChooseWorker(Instant now,
-                                                   const Forwarded& flow) {
-  const ForwardingService* service = flow.table->Service(flow.service);
-  const auto region = [this](const FailureDomainId& domain) {
-    const auto found = this->settings.region_of.find(domain.value);
-    return found == this->settings.region_of.end() ? domain.value
-                                                   : found->second;
-  };
+Distance Forwarding::DistanceTo(const FailureDomainId& domain) const {
   const FailureDomainId& here = this->settings.failure_domain;
+  if (domain == here) {
+    return Distance::kSameDomain;
+  }
+  const auto region = [this](const FailureDomainId& of) {
+    const auto found = this->settings.region_of.find(of.value);
+    return found == this->settings.region_of.end() ? of.value : found->second;
+  };
+  return region(domain) == region(here) ? Distance::kSameRegion
+                                        : Distance::kOtherRegion;
+}
+
+std::vector<LoadCandidate> Forwarding::Candidates(const Forwarded& flow) const {
+  const ForwardingService* service = flow.table->Service(flow.service);
   std::vector<LoadCandidate> candidates;
   for (const WorkerRegistration* worker :
        this->directory->OpenWorkers(flow.service)) {
-    if (std::find(flow.tried.begin(), flow.tried.end(), worker->id) !=
-        flow.tried.end()) {
-      continue;
-    }
     LoadCandidate candidate;
     candidate.worker = worker->id;
     candidate.slots = worker->slots;
-    if (worker->domain != here) {
-      candidate.distance = region(worker->domain) == region(here)
-                               ? Distance::kSameRegion
-                               : Distance::kOtherRegion;
-    }
+    candidate.distance = this->DistanceTo(worker->domain);
     if (service != nullptr && service->engine.has_value()) {
       candidate.memory_tokens = service->engine->memory_tokens;
     }
     candidates.push_back(std::move(candidate));
   }
+  return candidates;
+}
+
+std::optional<LoadChoice> Forwarding::ChooseWorker(Instant now,
+                                                   const Forwarded& flow) {
+  std::vector<LoadCandidate> candidates = this->Candidates(flow);
+  const auto tried = [&flow](const LoadCandidate& candidate) {
+    return std::find(flow.tried.begin(), flow.tried.end(), candidate.worker) !=
+           flow.tried.end();
+  };
+  candidates.erase(std::remove_if(candidates.begin(), candidates.end(), tried),
+                   candidates.end());
   return this->loads.Choose(now, candidates, flow.size);
 }
 
+HttpCall Forwarding::CallFor(Instant now, const Forwarded& flow,
+                             const Attempt& attempt, const std::string& address,
+                             std::optional<ResumeTerms> resume) const {
+  WorkerTerms terms;
+  terms.time_left = std::max(Duration{0}, flow.deadline - now);
+  terms.worker = attempt.worker;
+  terms.resume = std::move(resume);
+  if (flow.holder != nullptr) {
+    terms.organisation = flow.holder->organisation;
+  }
+  if (flow.on_engine) {
+    const int priority = flow.holder != nullptr && flow.holder->priority
+                             ? *flow.holder->priority
+                             : flow.route->priority;
+    terms.priority = std::clamp(priority, 0, kLowestPriority);
+  }
+  HttpCall call;
+  call.id = attempt.call;
+  call.method = flow.request.method;
+  call.url = "http://" + address + flow.request.target;
+  call.headers = this->codec.worker_headers(flow.request.headers, terms);
+  call.body = flow.request.body;
+  call.connect_timeout = kConnectTimeout;
+  return call;
+}
+
 bool Forwarding::Send(Instant now, Forwarded* flow) {
   const std::optional<LoadChoice> choice = this->ChooseWorker(now, *flow);
   if (!choice.has_value()) {
     return false;
   }
   const WorkerRegistration* worker = this->directory->Find(choice->worker);
-  WorkerTerms terms;
-  terms.time_left = std::max(Duration{0}, flow->deadline - now);
-  terms.worker = choice->worker;
-  if (flow->holder != nullptr) {
-    terms.organisation = flow->holder->organisation;
-  }
-  if (flow->on_engine) {
-    const int priority = flow->holder != nullptr && flow->holder->priority
-                             ? *flow->holder->priority
-                             : flow->route->priority;
-    terms.priority = std::clamp(priority, 0, kLowestPriority);
-  }
   Attempt attempt;
   attempt.call = this->hooks.next_call_id();
   attempt.worker = choice->worker;
   attempt.sent = now;
-  HttpCall call;
-  call.id = attempt.call;
-  call.method = flow->request.method;
-  call.url = "http://" + worker->address + flow->request.target;
-  call.headers = this->codec.worker_headers(flow->request.headers, terms);
-  call.body = flow->request.body;
-  call.connect_timeout = kConnectTimeout;
+  HttpCall call =
+      this->CallFor(now, *flow, attempt, worker->address, std::nullopt);
   ++flow->sends;
   ++flow->runs;
   flow->tried.push_back(choice->worker);
@@ -297,7 +316,7 @@
   Forwarded* flow = nullptr;
   Attempt* attempt = this->FindAttempt(head.id, &flow);
   if (attempt == nullptr) {
-    return this->flow_of_call.count(head.id.value) > 0;
+    return this->TakeMoveHead(head);
   }
   attempt->status = head.status;
   attempt->headers = head.headers;
@@ -324,7 +343,7 @@
   Forwarded* flow = nullptr;
   Attempt* attempt = this->FindAttempt(chunk.id, &flow);
   if (attempt == nullptr) {
-    return this->flow_of_call.count(chunk.id.value) > 0;
+    return this->TakeMoveChunk(chunk);
   }
   if (attempt->relaying) {
     this->TakeEvents(now, flow, attempt, chunk.bytes);
@@ -390,7 +409,7 @@
   Forwarded* flow = nullptr;
   Attempt* attempt = this->FindAttempt(done.id, &flow);
   if (attempt == nullptr) {
-    return this->flow_of_call.count(done.id.value) > 0;
+    return this->OnMoveCall(now, done);
   }
   const AttemptEnd end = this->Classify(*flow, *attempt, done.end);
   this->EndAttempt(now, flow->request.id.value, done.id, end);
@@ -446,7 +465,9 @@
     this->hedge_delays.Observe(flow.service, flow.route->name,
                                now - attempt.sent);
   }
-  this->Follow(now, id, attempt, end);
+  if (!this->HoldsForMove(now, &flow, attempt, end)) {
+    this->Follow(now, id, attempt, end);
+  }
 }
 
 void Forwarding::Follow(Instant now, std::uint64_t id, const Attempt& attempt,
@@ -592,6 +613,7 @@
              {"took_ms", Millis(now - flow.arrived)},
              {"cause", std::move(cause)}});
   this->timers.erase({flow.deadline, id, TimerKind::kDeadline});
+  this->AbandonMove(now, &this->flows.at(id));
   this->flows.erase(id);
 }
 
@@ -660,10 +682,16 @@
     if (found == this->flows.end()) {
       continue;
     }
-    if (timer.kind == TimerKind::kDeadline) {
-      this->ReachDeadline(now, timer.flow);
-    } else {
-      this->Hedge(now, &found->second);
+    switch (timer.kind) {
+      case TimerKind::kDeadline:
+        this->ReachDeadline(now, timer.flow);
+        break;
+      case TimerKind::kHedge:
+        this->Hedge(now, &found->second);
+        break;
+      case TimerKind::kMove:
+        this->StepMove(now, &found->second);
+        break;
     }
   }
 }
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -12,7 +12,7 @@
 constexpr Duration kWorkersWait = std::chrono::milliseconds(1500);
 // Registrations change several times a second while workers are replaced; one
 // call then brings several changes. Far below the bound on leaving workers.
-constexpr Duration kWorkersPause = std::chrono::milliseconds(150);
+constexpr Duration kWorkersPause = std::chrono::milliseconds(20);
 // After the balancer's two missed checks, one a second, and a margin.
 constexpr Duration kAcceptWhileDraining = std::chrono::milliseconds(3000);
 // Between the last cut request and the platform's SIGKILL.
@@ -183,6 +183,9 @@
   const UpstreamId id{record.name};
   const WorkerRegistration* known = this->directory.Find(id);
   if (record.deleted) {
+    if (known != nullptr && !known->draining) {
+      this->forwarding.OnLeaving(now, *known);  // it serves for a while yet
+    }
     this->Log(
         LogLevel::kInfo, "worker removed",
         {{"worker", id.value}, {"revision", std::to_string(record.version)}});
@@ -219,7 +222,12 @@
                {"draining", read->draining ? "true" : "false"},
                {"revision", std::to_string(record.version)}});
   }
+  const bool leaves = read->draining && (restarted || !known->draining);
+  const WorkerRegistration worker = *read;
   this->directory.Put(*std::move(read));
+  if (leaves) {
+    this->forwarding.OnLeaving(now, worker);
+  }
 }
 
 bool GatewayHost::Ready(Instant now) const {
--- a/src/routes/detail/deployment.h
+++ b/src/routes/detail/deployment.h
@@ -50,6 +50,9 @@
 struct EngineTraits {
   std::uint32_t slots = 0;
   std::uint64_t memory_tokens = 0;  ///< running requests and cached prefixes
+  double bytes_per_token = 0;       ///< of a stream's memory when it moves
+  double link_mbps = 0;             ///< between workers
+  bool can_move = false;            ///< running streams may move
 };
 
 /// @brief A service that workers register for.
