Move running streams off workers that leave

Change: each host asks a leaving worker what it runs, computes the same plan of slots on its link from the answer, and carries out the slots of its own streams: copy while the run goes on, stop, last part, resume. Connections for the hand-over are opened ahead, streams of far hosts go last, and near engines are asked for their memory so that placement knows them. Ruled out: copying all at once (finals waited 190 to 390 ms behind others).

--- a/src/event_loop/call_client.cc
+++ b/src/event_loop/call_client.cc
@@ -18,6 +18,7 @@
 constexpr Duration kKeptFor = std::chrono::seconds(4);
 // Of a server's own time, for the way and its clock.
 constexpr Duration kKeepMargin = std::chrono::milliseconds(600);
+constexpr Duration kOpenTimeout = std::chrono::milliseconds(400);
 constexpr std::uint64_t kMaxBody = 64U << 20U;
 constexpr std::uint32_t kMaxHead = 64U << 10U;
 constexpr std::string_view kScheme = "http://";
@@ -68,6 +69,9 @@
     this->Connect(call.connect_timeout);
   }
 
+  /// @brief Connects without a call; the connection is then kept.
+  void Open() { this->Connect(kOpenTimeout); }
+
   void Pause(bool paused) {
     this->paused = paused;
     if (!paused) {
@@ -135,8 +139,13 @@
           self->connected = true;
           self->connect_timer.cancel();
           TuneSocket(&self->socket);
-          self->Write();
           self->Read();
+          if (self->call.value != 0) {
+            self->Write();
+            return;
+          }
+          self->usable_until = BootNow() + kKeptFor;
+          self->client->Keep(self);
         });
   }
 
@@ -334,6 +343,10 @@
   }
 }
 
+void CallClient::Take(const HttpOpen& open) {
+  std::make_shared<CallConnection>(this, open.address)->Open();
+}
+
 void CallClient::Keep(const Connection& connection) {
   this->kept[connection->Address()].push_back(connection);
 }
--- a/src/event_loop/event_loop.cc
+++ b/src/event_loop/event_loop.cc
@@ -176,6 +176,7 @@
   void CarryOne(HttpCall call) { this->client.Take(std::move(call)); }
   void CarryOne(const HttpCancel& cancel) { this->client.Take(cancel); }
   void CarryOne(const HttpPause& pause) { this->client.Take(pause); }
+  void CarryOne(const HttpOpen& open) { this->client.Take(open); }
   void CarryOne(const PeerSend& send) {
     this->CarryOne(LogLine{
         LogLevel::kError, "no links to peers here", {{"to", send.to.value}}});
--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -47,6 +47,9 @@
 
 /// @brief What an engine says of the streams that it runs.
 struct EngineReport {
+  std::uint32_t active = 0;
+  std::uint32_t queued = 0;
+  std::uint64_t memory_in_use = 0;  ///< tokens that cannot yield
   std::vector<RunningStream> runs;
   std::optional<Duration> leaves_in;  ///< until it is gone, if it knows
 };
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -80,6 +80,7 @@
   /// @brief A leaving worker was asked what it runs.
   struct ReportCall {
     WorkerRegistration worker;
+    bool leaving = false;  ///< else it was asked for its load only
     Instant noticed{};
     int status = 0;
     std::string body;
@@ -123,6 +124,9 @@
   Distance DistanceTo(const FailureDomainId& domain) const;
 
   // Moves; in forwarding_moves.cc.
+  void AskReport(Instant now, const WorkerRegistration& worker, bool leaving);
+  void AskLoads(Instant now);
+  void TakeLoad(Instant now, const ReportCall& call);
   bool OnMoveCall(Instant now, const HttpDone& done);
   bool TakeMoveHead(const HttpHead& head);
   bool TakeMoveChunk(const HttpChunk& chunk);
@@ -160,6 +164,7 @@
   std::set<Timer> timers;
   std::unordered_map<std::uint64_t, std::uint64_t> flow_of_move;
   std::unordered_map<std::uint64_t, ReportCall> reports;
+  Instant next_loads{};
   std::set<std::uint64_t> releases;  ///< calls whose answer decides nothing
   Actions actions;
 };
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -31,6 +31,9 @@
 // length are right at the median, so a third is put on top.
 constexpr Duration kTimePerToken = std::chrono::microseconds(9000);
 constexpr double kLengthMargin = 1.3;
+// Engines near by are asked for their load this often; their figures lag by
+// about as much.
+constexpr Duration kAskLoadsEvery = std::chrono::milliseconds(500);
 constexpr int kLowestPriority = 9;
 // Retry-After: long enough to outlast a worker's replacement in part, spread
 // so that refused callers do not come back together, and at most a third of
@@ -454,7 +457,11 @@
   const bool silent =
       end == AttemptEnd::kNotConnected || end == AttemptEnd::kCut;
   const bool failed = end != AttemptEnd::kAnswered;
-  this->loads.Note(now, attempt.worker, failed, silent);
+  const bool moving =
+      flow.move.has_value() && flow.move->source == attempt.worker;
+  if (!moving) {  // a worker that leaves does not fail
+    this->loads.Note(now, attempt.worker, failed, silent);
+  }
   if (end == AttemptEnd::kNotConnected) {
     ++flow.connect_failures;
   }
@@ -675,6 +682,10 @@
 }
 
 void Forwarding::Tick(Instant now) {
+  if (this->next_loads <= now) {
+    this->next_loads = now + kAskLoadsEvery;
+    this->AskLoads(now);
+  }
   while (!this->timers.empty() && this->timers.begin()->due <= now) {
     const Timer timer = *this->timers.begin();
     this->timers.erase(this->timers.begin());
@@ -697,7 +708,9 @@
 }
 
 Instant Forwarding::NextWakeup() const {
-  return this->timers.empty() ? kNever : this->timers.begin()->due;
+  return this->timers.empty()
+             ? this->next_loads
+             : std::min(this->next_loads, this->timers.begin()->due);
 }
 
 void Forwarding::EndAll(Instant now) {
--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -9,6 +9,8 @@
 // Report and orders; a leaving worker has less time than this.
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(3000);
 constexpr Duration kOrderConnect = std::chrono::milliseconds(400);
+// Of an engine's report, by its own account.
+constexpr Duration kReportLag = std::chrono::milliseconds(500);
 // A stream without its first token cannot move yet; it is asked again.
 constexpr Duration kNotBegunPause = std::chrono::milliseconds(40);
 constexpr Duration kBusyPause = std::chrono::milliseconds(20);
@@ -46,14 +48,70 @@
       !service->engine->can_move) {
     return;
   }
+  this->AskReport(now, worker, true);
+}
+
+void Forwarding::AskReport(Instant now, const WorkerRegistration& worker,
+                           bool leaving) {
   HttpCall call = this->codec.report_call();
   call.id = this->hooks.next_call_id();
   call.url = "http://" + worker.address + call.url;
   call.connect_timeout = kOrderConnect;
-  this->reports[call.id.value] = {worker, now, 0, {}};
+  this->reports[call.id.value] = {worker, leaving, now, 0, {}};
   this->actions.emplace_back(std::move(call));
 }
 
+void Forwarding::AskLoads(Instant now) {
+  const std::shared_ptr<const RouteTable> table =
+      this->hooks.deployment(now).table;
+  if (table == nullptr) {
+    return;
+  }
+  // A worker that does not answer keeps its call; it is not asked again.
+  const auto asked = [this](const UpstreamId& worker) {
+    return std::any_of(
+        this->reports.begin(), this->reports.end(),
+        [&](const auto& each) { return each.second.worker.id == worker; });
+  };
+  for (const ForwardingService& service : table->Contents().services) {
+    if (!service.engine.has_value()) {
+      continue;
+    }
+    for (const WorkerRegistration* worker :
+         this->directory->OpenWorkers(service.name)) {
+      if (this->DistanceTo(worker->domain) == Distance::kSameDomain &&
+          !asked(worker->id)) {
+        this->AskReport(now, *worker, false);
+      }
+    }
+  }
+}
+
+void Forwarding::TakeLoad(Instant now, const ReportCall& call) {
+  constexpr int kOk = 200;
+  if (call.status != kOk) {
+    this->Log(LogLevel::kInfo, "load unknown",
+              {{"worker", call.worker.id.value},
+               {"status", std::to_string(call.status)},
+               {"after_ms", Millis(now - call.noticed)}});
+    return;
+  }
+  const absl::StatusOr<EngineReport> report = this->codec.report(call.body);
+  if (!report.ok()) {
+    const absl::string_view reason = report.status().message();
+    this->Log(
+        LogLevel::kWarning, "load report unreadable",
+        {{"worker", call.worker.id.value}, {"reason", std::string(reason)}});
+    return;
+  }
+  LoadReport load;
+  load.running = report->active;
+  load.waiting = report->queued;
+  load.memory_tokens = report->memory_in_use;
+  load.lag = kReportLag;
+  this->loads.Report(now, call.worker.id, load);
+}
+
 bool Forwarding::TakeMoveHead(const HttpHead& head) {
   if (const auto report = this->reports.find(head.id.value);
       report != this->reports.end()) {
@@ -87,7 +145,11 @@
       report != this->reports.end()) {
     const ReportCall call = std::move(report->second);
     this->reports.erase(report);
-    this->TakeReport(now, call);
+    if (call.leaving) {
+      this->TakeReport(now, call);
+    } else {
+      this->TakeLoad(now, call);
+    }
     return true;
   }
   if (const auto found = this->flow_of_move.find(done.id.value);
@@ -116,13 +178,15 @@
       report = *std::move(read);
     }
   }
+  const bool near =
+      this->DistanceTo(call.worker.domain) == Distance::kSameDomain;
   const auto listed = [&report](const std::string& id) {
     return std::any_of(
         report.runs.begin(), report.runs.end(),
         [&id](const RunningStream& run) { return run.request_id == id; });
   };
   std::vector<Forwarded*> own;
-  std::vector<RunningStream> unlisted;
+  std::vector<RunningStream> late;
   for (auto& [id, flow] : this->flows) {
     const bool there = flow.Streaming() && !flow.running.empty() &&
                        flow.running.front().worker == call.worker.id &&
@@ -131,8 +195,8 @@
       continue;
     }
     own.push_back(&flow);
-    if (!listed(flow.terms.request_id)) {
-      unlisted.push_back({flow.terms.request_id, flow.size.tokens});
+    if (!near || !listed(flow.terms.request_id)) {
+      late.push_back({flow.terms.request_id, flow.size.tokens, 0});
     }
   }
   if (own.empty()) {
@@ -150,7 +214,7 @@
     speed = {service->engine->bytes_per_token, service->engine->link_mbps};
   }
   const std::vector<MoveSlot> slots =
-      PlanMoves(call.worker.id, report.runs, unlisted, destinations, speed);
+      PlanMoves(call.worker.id, report.runs, late, destinations, speed);
   this->Log(
       LogLevel::kInfo, "moves planned",
       {{"worker", call.worker.id.value},
@@ -160,15 +224,17 @@
        {"destinations", std::to_string(destinations.size())},
        {"leaves_ms", report.leaves_in ? Millis(*report.leaves_in) : "unknown"},
        {"age_ms", Millis(now - call.noticed)}});
-  for (const MoveSlot& slot : slots) {
+  // The later slot counts where a stream has two.
+  for (auto slot = slots.rbegin(); slot != slots.rend(); ++slot) {
     const auto flow =
-        std::find_if(own.begin(), own.end(), [&slot](const Forwarded* each) {
-          return each->terms.request_id == slot.request_id;
+        std::find_if(own.begin(), own.end(), [slot](const Forwarded* each) {
+          return each->terms.request_id == slot->request_id &&
+                 !each->move.has_value();
         });
     if (flow != own.end()) {
       this->ScheduleMove(now, *flow, call,
-                         destinations[slot.destination].worker,
-                         call.noticed + kReportTime + slot.start);
+                         destinations[slot->destination].worker,
+                         call.noticed + kReportTime + slot->start);
     }
   }
 }
@@ -254,6 +320,10 @@
   ++move.tries;
   this->flow_of_move[call.id.value] = flow->request.id.value;
   this->actions.emplace_back(std::move(call));
+  // A leaving worker closes connections with each answer, and the pause of the
+  // hand-over would hold the opening of the next ones.
+  this->actions.emplace_back(
+      HttpOpen{last ? destination->address : move.source_address});
 }
 
 void Forwarding::RetryMove(Instant now, Forwarded* flow, Duration pause) {
--- a/src/migration/detail/plan.h
+++ b/src/migration/detail/plan.h
@@ -15,6 +15,7 @@
 struct RunningStream {
   std::string request_id;
   std::uint64_t memory_tokens = 0;
+  std::uint64_t events = 0;  ///< made so far
 };
 
 /// @brief How fast the memory of a stream moves between workers.
@@ -33,6 +34,16 @@
   bool far = false;  ///< in another failure domain than the source
 };
 
+/// @brief What a stream's memory does while its copy waits.
+struct StreamGrowth {
+  double tokens_per_second = 120;  ///< of one running stream, unloaded engine
+  Duration report_lag{std::chrono::milliseconds(500)};
+  /// A stream with so few events may have been reported while its prompt was
+  /// still being read, and is counted to hold the usual prompt at least.
+  std::uint64_t young_events = 10;
+  std::uint64_t usual_prompt = 3000;
+};
+
 /// @brief When the copy of one stream begins, and where it goes.
 struct MoveSlot {
   std::string request_id;
@@ -47,7 +58,9 @@
 /// efficiency only.
 /// @param source the leaving worker
 /// @param runs the streams in its report, of all hosts
-/// @param unlisted own streams that its report does not name yet
+/// @param late own streams that go after all others: those that the report
+/// does not name yet, and those of a host so far from the source that its
+/// orders would arrive behind the next stream's
 /// @param destinations workers that take new work; near ones are used while
 /// there are any
 /// @return slots in order of their start; the smallest memory first, so that
@@ -55,7 +68,7 @@
 /// @note Complexity: n log n in the streams.
 std::vector<MoveSlot> PlanMoves(
     const UpstreamId& source, std::vector<RunningStream> runs,
-    std::vector<RunningStream> unlisted,
+    std::vector<RunningStream> late,
     const std::vector<MoveDestination>& destinations, const MoveSpeed& speed);
 
 }  // namespace limpetlink
--- a/src/migration/plan.cc
+++ b/src/migration/plan.cc
@@ -33,7 +33,7 @@
 
 std::vector<MoveSlot> PlanMoves(
     const UpstreamId& source, std::vector<RunningStream> runs,
-    std::vector<RunningStream> unlisted,
+    std::vector<RunningStream> late,
     const std::vector<MoveDestination>& destinations, const MoveSpeed& speed) {
   const auto pick = [&destinations](bool far) {
     std::vector<std::size_t> indices;
@@ -53,15 +53,22 @@
     return slots;
   }
   SortBySize(&runs);
-  SortBySize(&unlisted);
-  runs.insert(runs.end(), unlisted.begin(), unlisted.end());
+  SortBySize(&late);
+  runs.insert(runs.end(), late.begin(), late.end());
+  constexpr StreamGrowth kGrowth;
   const std::size_t first = StableHash(source.value) % usable.size();
   Duration start{0};
   for (std::size_t i = 0; i < runs.size(); ++i) {
     const std::size_t to = usable[(first + i) % usable.size()];
     slots.push_back({runs[i].request_id, to, start});
-    start +=
-        speed.CopyTime(runs[i].memory_tokens, destinations[to].far) + kHandOver;
+    const double grown =
+        kGrowth.tokens_per_second * ToSeconds(kGrowth.report_lag + start);
+    const bool young = runs[i].events < kGrowth.young_events;
+    const std::uint64_t told =
+        young ? std::max(kGrowth.usual_prompt, runs[i].memory_tokens)
+              : runs[i].memory_tokens;
+    const std::uint64_t tokens = told + static_cast<std::uint64_t>(grown);
+    start += speed.CopyTime(tokens, destinations[to].far) + kHandOver;
   }
   return slots;
 }
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -126,6 +126,12 @@
   bool paused = true;
 };
 
+/// @brief Opens a connection ahead of the call that will need it. An adapter
+/// may pass this over; calls then open their own.
+struct HttpOpen {
+  std::string address;  ///< "ip:port"
+};
+
 /// @brief The status line and headers of an answer arrived.
 struct HttpHead {
   CallId id;
@@ -233,7 +239,7 @@
 /// @brief What the core may order.
 using Action =
     std::variant<ReplyHead, ReplyBody, ReplyEnd, HttpCall, HttpCancel,
-                 HttpPause, PeerSend, LogLine, SpanRecord>;
+                 HttpPause, HttpOpen, PeerSend, LogLine, SpanRecord>;
 
 /// @brief Orders in the sequence in which they are to be carried out.
 using Actions = std::vector<Action>;
--- a/src/routing/detail/load_table.h
+++ b/src/routing/detail/load_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -18,6 +19,8 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  std::optional<std::uint64_t> memory_tokens;  ///< in use, where it was told
+  Duration lag{0};  ///< how old the figures were when they were told
 };
 
 /// @brief What a request will take at a worker.
@@ -77,11 +80,17 @@
                                    const RequestSize& size);
 
  private:
+  /// @brief A request of this host that a lagging report may not hold yet.
+  struct Begun {
+    Instant at{};
+    std::uint64_t tokens = 0;
+  };
+
   struct Entry {
     std::uint32_t running = 0;
     std::uint64_t tokens = 0;
-    std::uint32_t begun_since_report = 0;
     std::uint32_t own_at_report = 0;
+    std::deque<Begun> begun;  ///< younger than the longest lag
     LoadReport report;
     Instant reported_at{};
     bool reported = false;
@@ -89,6 +98,8 @@
     WorkerHealth health;
   };
 
+  double MemoryOf(Instant now, const Entry& entry, const RequestSize& size,
+                  std::uint32_t others) const;
   double LoadOf(Instant now, const Entry& entry, const LoadCandidate& candidate,
                 const RequestSize& size) const;
 
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -10,7 +10,7 @@
 // Load that a worker farther away must have less to be chosen: a round trip
 // between regions is billed and takes as long as an order's work.
 constexpr double kOtherDomain = 0.10;
-constexpr double kOtherRegion = 0.30;
+constexpr double kOtherRegion = 0.60;
 constexpr double kRandomPart = 0.04;
 // Weight of the newest attempt in a worker's share of failures.
 constexpr double kNewestFailure = 0.15;
@@ -33,12 +33,17 @@
 
 }  // namespace
 
-void LoadTable::Begin(Instant /*now*/, const UpstreamId& worker,
+void LoadTable::Begin(Instant now, const UpstreamId& worker,
                       const RequestSize& size) {
   Entry& entry = this->entries[worker];
   ++entry.running;
-  ++entry.begun_since_report;
   entry.tokens += size.tokens;
+  if (size.tokens > 0) {
+    entry.begun.push_back({now, size.tokens});
+    while (now - entry.begun.front().at > kReportLife) {
+      entry.begun.pop_front();
+    }
+  }
 }
 
 void LoadTable::End(Instant /*now*/, const UpstreamId& worker,
@@ -55,10 +60,16 @@
 void LoadTable::Report(Instant now, const UpstreamId& worker,
                        const LoadReport& report) {
   Entry& entry = this->entries[worker];
+  const bool told_more = entry.reported &&
+                         entry.report.memory_tokens.has_value() &&
+                         !report.memory_tokens.has_value() &&
+                         now - entry.reported_at <= kReportLife;
+  if (told_more) {
+    return;  // the fuller report counts while it is fresh
+  }
   entry.report = report;
   entry.reported_at = now;
   entry.reported = true;
-  entry.begun_since_report = 0;
   entry.own_at_report = entry.running;
 }
 
@@ -77,6 +88,24 @@
   this->entries.erase(worker);
 }
 
+double LoadTable::MemoryOf(Instant now, const Entry& entry,
+                           const RequestSize& size,
+                           std::uint32_t others) const {
+  const bool told = entry.reported && entry.report.memory_tokens.has_value() &&
+                    now - entry.reported_at <= kReportLife;
+  if (!told) {
+    return static_cast<double>(entry.tokens + size.tokens) +
+           kOtherRequestTokens * others;
+  }
+  double memory =
+      static_cast<double>(*entry.report.memory_tokens + size.tokens);
+  const Instant told_at = entry.reported_at - entry.report.lag;
+  for (const Begun& begun : entry.begun) {
+    memory += begun.at >= told_at ? static_cast<double>(begun.tokens) : 0.0;
+  }
+  return memory;
+}
+
 double LoadTable::LoadOf(Instant now, const Entry& entry,
                          const LoadCandidate& candidate,
                          const RequestSize& size) const {
@@ -89,10 +118,8 @@
   const double slots = std::max(1U, candidate.slots);
   double load = (entry.running + others + 1.0) / slots;
   if (candidate.memory_tokens > 0) {
-    const double memory = static_cast<double>(entry.tokens + size.tokens) +
-                          kOtherRequestTokens * others;
-    load =
-        std::max(load, memory / static_cast<double>(candidate.memory_tokens));
+    load = std::max(load, this->MemoryOf(now, entry, size, others) /
+                              static_cast<double>(candidate.memory_tokens));
   }
   return load + kFailureLoad * entry.failures;
 }
