Learn from a worker's own report that it leaves

Cause: while the store's watches were deaf (platform_compact) streams were cut on workers whose notice came through the store alone, after 1 to 2 s. The report that near engines are asked for each half second names their state.

--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -50,6 +50,7 @@
   std::uint32_t active = 0;
   std::uint32_t queued = 0;
   std::uint64_t memory_in_use = 0;  ///< tokens that cannot yield
+  bool draining = false;            ///< it leaves
   std::vector<RunningStream> runs;
   std::optional<Duration> leaves_in;  ///< until it is gone, if it knows
 };
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -32,6 +32,8 @@
   std::function<CallId()> next_call_id;
   /// Time until the process must have ended; Duration::max() while it serves.
   std::function<Duration(Instant)> time_to_end;
+  /// A worker says of itself that it leaves.
+  std::function<void(Instant, const UpstreamId&)> worker_leaves;
 };
 
 /// @brief The requests that have no final answer yet, one flow each.
--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -104,6 +104,10 @@
         {{"worker", call.worker.id.value}, {"reason", std::string(reason)}});
     return;
   }
+  if (report->draining) {
+    this->hooks.worker_leaves(now, call.worker.id);
+    return;
+  }
   LoadReport load;
   load.running = report->active;
   load.waiting = report->queued;
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -63,6 +63,9 @@
                         ? *this->drain_began + this->settings.bounds.grace -
                               kEndMargin - now
                         : Duration::max();
+           },
+           [this](Instant now, const UpstreamId& id) {
+             this->TakeLeaving(now, id);
            }},
           &this->directory, &this->metrics) {}
 
@@ -208,6 +211,9 @@
   const bool restarted = known == nullptr ||
                          known->started_at != read->started_at ||
                          known->address != read->address;
+  // Leaving is final for a start of a worker; it may be known from the worker
+  // itself while the store still says otherwise.
+  read->draining = read->draining || (!restarted && known->draining);
   const bool changed = restarted || known->draining != read->draining ||
                        known->service != read->service;
   if (restarted) {
@@ -230,6 +236,20 @@
   }
 }
 
+void GatewayHost::TakeLeaving(Instant now, const UpstreamId& id) {
+  const WorkerRegistration* known = this->directory.Find(id);
+  if (known == nullptr || known->draining) {
+    return;
+  }
+  WorkerRegistration worker = *known;
+  worker.draining = true;
+  this->Log(LogLevel::kInfo, "worker says that it leaves",
+            {{"worker", id.value},
+             {"registrations_age_ms", Millis(this->workers.Age(now))}});
+  this->directory.Put(worker);
+  this->forwarding.OnLeaving(now, worker);
+}
+
 bool GatewayHost::Ready(Instant now) const {
   if (this->drain_began.has_value() || this->table == nullptr ||
       !this->workers.Known()) {
