--- /dev/null
+++ b/src/event_loop/tests/event_loop_test.cc
@@ -0,0 +1,381 @@
+#include "event_loop/event_loop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <thread>
+
+namespace limpetlink {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+/// @brief A core whose answers the test scripts.
+class ScriptedCore {
+ public:
+  Actions Start(Instant /*now*/) { return {}; }
+  Actions Step(Instant /*now*/, const Event& event) {
+    return this->step(event);
+  }
+  Actions Tick(Instant /*now*/) { return {}; }
+  Actions Drain(Instant /*now*/) {
+    this->draining = true;
+    return {};
+  }
+  Instant NextWakeup() const { return kNever; }
+  bool Drained() const { return this->draining; }
+
+  std::function<Actions(const Event&)> step;
+
+ private:
+  bool draining = false;
+};
+
+Actions ReplyTo(const CallerRequest& request, std::string body) {
+  return {ReplyHead{request.id, 200, {}},
+          ReplyBody{request.id, std::move(body)}, ReplyEnd{request.id, false}};
+}
+
+/// @brief A worker of one connection at a time, scripted byte by byte.
+class RawServer {
+ public:
+  RawServer()
+      : acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->port);
+  }
+
+  void Close() { this->acceptor.close(); }
+
+  Tcp::socket Accept() { return this->acceptor.accept(); }
+
+ private:
+  asio::io_context context;
+  Tcp::acceptor acceptor;
+  std::uint16_t port = this->acceptor.local_endpoint().port();
+};
+
+std::string ReadRequest(Tcp::socket* socket) {
+  std::string text;
+  std::array<char, 4096> buffer{};
+  while (text.find("\r\n\r\n") == std::string::npos) {
+    boost::system::error_code error;
+    const std::size_t size = socket->read_some(asio::buffer(buffer), error);
+    if (error) {
+      break;
+    }
+    text.append(buffer.data(), size);
+  }
+  return text;
+}
+
+void WriteText(Tcp::socket* socket, const std::string& text) {
+  boost::system::error_code
+      ignored;  // the peer may have left: tests look at it
+  asio::write(*socket, asio::buffer(text), ignored);
+}
+
+class EventLoopFixture {
+ public:
+  EventLoopFixture() {
+    EventLoopHooks hooks;
+    hooks.bounds = [this] { return this->bounds; };
+    hooks.accepts_callers = [this] { return !this->core.Drained(); };
+    hooks.reload = [] {};
+    hooks.log = [](const LogLine&, Instant) {};
+    hooks.span = [](const SpanRecord&) {};
+    this->loop = std::make_unique<EventLoop>(
+        EventLoopSettings{"127.0.0.1:0", "127.0.0.1:0"}, HooksOf(&this->core),
+        hooks);
+    REQUIRE(this->loop->Start().ok());
+  }
+
+  ~EventLoopFixture() { this->Stop(); }
+
+  void Run() {
+    this->thread = std::thread([this] { this->loop->Run(); });
+  }
+
+  void Stop() {
+    if (this->thread.joinable()) {
+      this->loop->RequestDrain();
+      this->thread.join();
+    }
+  }
+
+  Tcp::socket Connect() {
+    Tcp::socket socket(this->context);
+    socket.connect(
+        {asio::ip::address_v4::loopback(), this->loop->CallersPort()});
+    return socket;
+  }
+
+  /// @brief Sends bytes and reads until the peer closes.
+  std::string Exchange(const std::string& bytes) {
+    Tcp::socket socket = this->Connect();
+    WriteText(&socket, bytes);
+    std::string text;
+    boost::system::error_code end;
+    asio::read(socket, asio::dynamic_buffer(text), end);
+    return text;
+  }
+
+  ScriptedCore core;
+  CallerBounds bounds;
+  asio::io_context context;
+  std::unique_ptr<EventLoop> loop;
+  std::thread thread;
+};
+
+TEST_CASE_METHOD(EventLoopFixture,
+                 "event loop, request, reaches the core as it was sent",
+                 "[event_loop]") {
+  this->core.step = [](const Event& event) -> Actions {
+    const auto* request = std::get_if<CallerRequest>(&event);
+    return request == nullptr
+               ? Actions{}
+               : ReplyTo(*request, request->method + " " + request->target +
+                                       " " + request->body);
+  };
+  this->Run();
+  const std::string text = this->Exchange(
+      "POST /a%2Fb//c?x=%20&y HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  CHECK(text.find("POST /a%2Fb//c?x=%20&y abcde") != std::string::npos);
+  CHECK(text.find("Content-Length: 28") != std::string::npos);
+}
+
+TEST_CASE_METHOD(EventLoopFixture,
+                 "event loop, bytes that could be read as two requests, are "
+                 "refused",
+                 "[event_loop]") {
+  int requests = 0;
+  this->core.step = [&requests](const Event& event) -> Actions {
+    if (const auto* request = std::get_if<CallerRequest>(&event)) {
+      ++requests;
+      return ReplyTo(*request, "");
+    }
+    return {};
+  };
+  this->Run();
+  const std::string both = this->Exchange(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n");
+  CHECK(both.find("400") != std::string::npos);
+  const std::string lengths = this->Exchange(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+      "Content-Length: 4\r\n\r\nabcd");
+  CHECK(lengths.find("400") != std::string::npos);
+  this->Stop();
+  CHECK(requests == 0);
+}
+
+TEST_CASE_METHOD(EventLoopFixture,
+                 "event loop, head or body over its bound, is refused",
+                 "[event_loop]") {
+  this->bounds.header_bytes = 1024;
+  this->bounds.body_bytes = 100;
+  this->core.step = [](const Event& /*event*/) { return Actions{}; };
+  this->Run();
+  CHECK(this->Exchange("GET / HTTP/1.1\r\nHost: h\r\nX: " +
+                       std::string(2000, 'x') + "\r\n\r\n")
+            .find("431") != std::string::npos);
+  CHECK(this->Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n"
+                       "\r\n")
+            .find("413") != std::string::npos);
+}
+
+TEST_CASE_METHOD(EventLoopFixture,
+                 "event loop, caller leaves while its request waits, the core "
+                 "is told",
+                 "[event_loop]") {
+  std::atomic<bool> gone{false};
+  this->core.step = [&gone](const Event& event) -> Actions {
+    gone = gone || std::holds_alternative<CallerGone>(event);
+    return {};
+  };
+  this->Run();
+  {
+    Tcp::socket socket = this->Connect();
+    WriteText(&socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  for (int i = 0; !gone && i < 200; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK(gone);
+}
+
+TEST_CASE_METHOD(EventLoopFixture,
+                 "event loop, reply aborted, does not look whole",
+                 "[event_loop]") {
+  this->core.step = [](const Event& event) -> Actions {
+    const auto* request = std::get_if<CallerRequest>(&event);
+    if (request == nullptr) {
+      return {};
+    }
+    return {ReplyHead{request->id, 200, {}}, ReplyBody{request->id, "part"},
+            ReplyEnd{request->id, true}};
+  };
+  this->Run();
+  const std::string text = this->Exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(text.find("part") != std::string::npos);
+  CHECK(text.find("Content-Length") == std::string::npos);
+  CHECK(text.find("0\r\n\r\n") == std::string::npos);
+}
+
+/// @brief A core that makes calls for callers' requests and notes their ends.
+class CallFixture : public EventLoopFixture {
+ public:
+  CallFixture() {
+    this->core.step = [this](const Event& event) -> Actions {
+      if (const auto* request = std::get_if<CallerRequest>(&event)) {
+        this->caller = request->id;
+        HttpCall call;
+        call.id = CallId{++this->last_call};
+        call.method = "POST";
+        call.url = "http://" + this->worker.Address() + request->target;
+        call.body = "body";
+        return {call};
+      }
+      if (const auto* head = std::get_if<HttpHead>(&event)) {
+        this->status = head->status;
+      }
+      if (const auto* chunk = std::get_if<HttpChunk>(&event)) {
+        this->received += chunk->bytes;
+      }
+      if (const auto* done = std::get_if<HttpDone>(&event)) {
+        CallerRequest request;
+        request.id = this->caller;
+        std::string told = std::string(ToText(done->end)) + " " +
+                           std::to_string(this->status) + " " + this->received;
+        this->received.clear();
+        this->status = 0;
+        return ReplyTo(request, told);
+      }
+      return {};
+    };
+    this->Run();
+  }
+
+  /// @brief Sends one request on a connection of its own.
+  std::string Ask() {
+    return this->Exchange(
+        "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  }
+
+  RawServer worker;
+  RequestId caller;
+  std::uint64_t last_call = 0;
+  int status = 0;
+  std::string received;
+};
+
+TEST_CASE_METHOD(CallFixture,
+                 "call, answer without a length, is whole when the connection "
+                 "ends in order",
+                 "[event_loop]") {
+  std::thread server([this] {
+    Tcp::socket socket = this->worker.Accept();
+    ReadRequest(&socket);
+    WriteText(&socket, "HTTP/1.1 200 OK\r\n\r\nabc");
+  });
+  CHECK(this->Ask().find("complete 200 abc") != std::string::npos);
+  server.join();
+}
+
+TEST_CASE_METHOD(CallFixture,
+                 "call, answer without a length is reset, is not whole",
+                 "[event_loop]") {
+  std::thread server([this] {
+    Tcp::socket socket = this->worker.Accept();
+    ReadRequest(&socket);
+    WriteText(&socket, "HTTP/1.1 200 OK\r\n\r\nabc");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();  // resets; the destructor would end in order
+  });
+  const std::string text = this->Ask();
+  INFO(text);
+  CHECK(text.find("cut 200 abc") != std::string::npos);
+  server.join();
+}
+
+TEST_CASE_METHOD(CallFixture,
+                 "call, connection refused, says that no byte left",
+                 "[event_loop]") {
+  this->worker.Close();
+  CHECK(this->Ask().find("not_connected 0") != std::string::npos);
+}
+
+TEST_CASE_METHOD(CallFixture,
+                 "call, kept connection gets stray bytes, is not used again",
+                 "[event_loop]") {
+  std::thread server([this] {
+    Tcp::socket first = this->worker.Accept();
+    ReadRequest(&first);
+    WriteText(&first, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    WriteText(&first, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+    Tcp::socket second = this->worker.Accept();
+    ReadRequest(&second);
+    WriteText(&second, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+  });
+  CHECK(this->Ask().find("complete 200 one") != std::string::npos);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(this->Ask().find("complete 200 two") != std::string::npos);
+  server.join();
+}
+
+TEST_CASE_METHOD(CallFixture,
+                 "call, kept connection closes as the request is sent, is not "
+                 "sent again",
+                 "[event_loop]") {
+  std::thread server([this] {
+    Tcp::socket socket = this->worker.Accept();
+    ReadRequest(&socket);
+    WriteText(&socket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+    CHECK(ReadRequest(&socket).find("POST /x") == 0);
+  });
+  CHECK(this->Ask().find("complete 200 one") != std::string::npos);
+  CHECK(this->Ask().find("cut 0") != std::string::npos);
+  server.join();
+}
+
+TEST_CASE_METHOD(CallFixture,
+                 "call, answer has more bytes than its length, leaves them to "
+                 "no one",
+                 "[event_loop]") {
+  std::thread server([this] {
+    Tcp::socket socket = this->worker.Accept();
+    ReadRequest(&socket);
+    WriteText(&socket,
+              "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 "
+              "OK\r\nContent-Length: 5\r\n\r\nextra");
+    Tcp::socket second = this->worker.Accept();
+    ReadRequest(&second);
+    WriteText(&second, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+  });
+  CHECK(this->Ask().find("complete 200 one") != std::string::npos);
+  CHECK(this->Ask().find("complete 200 two") != std::string::npos);
+  server.join();
+}
+
+TEST_CASE_METHOD(CallFixture, "call, bytes that are no answer, are not whole",
+                 "[event_loop]") {
+  std::thread server([this] {
+    Tcp::socket socket = this->worker.Accept();
+    ReadRequest(&socket);
+    WriteText(&socket, "\x01\x02 nonsense\r\n\r\n");
+  });
+  CHECK(this->Ask().find("cut 0") != std::string::npos);
+  server.join();
+}
+
+}  // namespace
+}  // namespace limpetlink
--- /dev/null
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -0,0 +1,396 @@
+#include "gateway/tests/gateway_fixture.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace limpetlink::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The scripted store hands registrations over through this, as its bytes are
+/// names only.
+std::map<std::string, WorkerRegistration> known_workers;
+std::map<std::string, Deployment> known_deployments;
+
+StoreDialect Dialect() {
+  StoreDialect dialect;
+  dialect.target = [](const StoreRequest& request) {
+    const bool list = request.verb == StoreVerb::kListRecords;
+    return "/" + request.key.kind + (list ? "/list" : "/watch");
+  };
+  dialect.read = [](StoreVerb, StoreAnswer* answer, StoreResult* result) {
+    // "REVISION name name -name": a minus stands for a removal.
+    std::size_t at = answer->body.find(' ');
+    result->revision = std::stoull(answer->body.substr(0, at));
+    while (at != std::string::npos) {
+      const std::size_t end = answer->body.find(' ', at + 1);
+      std::string name = answer->body.substr(
+          at + 1, end == std::string::npos ? end : end - at - 1);
+      ObjectRecord record;
+      record.deleted = name.front() == '-';
+      record.name = record.deleted ? name.substr(1) : name;
+      result->records.push_back(record);
+      at = end;
+    }
+    return StoreStatus::kOk;
+  };
+  return dialect;
+}
+
+GatewayCodec Codec() {
+  GatewayCodec codec;
+  codec.deployment_kind = "deployments";
+  codec.deployment_name = "main";
+  codec.worker_kind = "workers";
+  codec.ready_path = "/ready";
+  codec.deployment = [](const ObjectRecord& record) {
+    return absl::StatusOr<Deployment>(known_deployments.at(record.name));
+  };
+  codec.worker = [](const ObjectRecord& record) {
+    return absl::StatusOr<WorkerRegistration>(known_workers.at(record.name));
+  };
+  codec.caller_terms =
+      [](const Headers& headers) -> absl::StatusOr<CallerTerms> {
+    CallerTerms terms;
+    terms.request_id = GatewayFixture::HeaderOf(headers, "id");
+    terms.key = GatewayFixture::HeaderOf(headers, "key");
+    terms.prompt_tokens = 3000;
+    terms.max_output_tokens = 900;
+    return terms;
+  };
+  codec.worker_headers = [](const Headers& headers, const WorkerTerms& terms) {
+    Headers sent = {
+        {"id", GatewayFixture::HeaderOf(headers, "id")},
+        {"worker", terms.worker.value},
+        {"time-left", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                         terms.time_left)
+                                         .count())}};
+    if (terms.resume.has_value()) {
+      sent.push_back({"resume", terms.resume->source + "/" +
+                                    terms.resume->handle + "/" +
+                                    std::to_string(terms.resume->last_event)});
+    }
+    return sent;
+  };
+  codec.worker_answer = [](const Headers& headers) {
+    WorkerAnswer answer;
+    answer.request_id = GatewayFixture::HeaderOf(headers, "id");
+    answer.is_signed = FindHeader(headers, "signed") != nullptr;
+    answer.not_run = FindHeader(headers, "not-run") != nullptr;
+    return answer;
+  };
+  codec.caller_headers = [](const Headers& headers) { return headers; };
+  codec.report_call = [] {
+    HttpCall call;
+    call.url = "/report";
+    return call;
+  };
+  codec.move_call = [](const MoveOrder& order) {
+    HttpCall call;
+    call.url = order.last ? "/finish" : "/copy";
+    call.body = order.request_id + ">" + order.to;
+    return call;
+  };
+  codec.release_call = [](const std::string& handle) {
+    HttpCall call;
+    call.url = "/release/" + handle;
+    return call;
+  };
+  codec.report = [](const std::string& body) -> absl::StatusOr<EngineReport> {
+    EngineReport report;
+    report.draining = body == "leaving";
+    return report;
+  };
+  codec.move_answer = [](int status, const std::string& body) {
+    MoveAnswer answer;
+    answer.handle = body;
+    if (status == 200) {
+      answer.end = MoveEnd::kCopied;
+    } else if (status == 404) {
+      answer.end = MoveEnd::kNoSuchRun;
+    } else if (status == 503) {
+      answer.end = MoveEnd::kNoRoom;
+    }
+    return answer;
+  };
+  return codec;
+}
+
+GatewaySettings Settings() {
+  GatewaySettings settings;
+  settings.self = HostId{"entry-1"};
+  settings.failure_domain = FailureDomainId{"here"};
+  settings.region_of = {{"here", "region"}, {"there", "other"}};
+  settings.store.url = "http://store";
+  settings.store.dialect = Dialect();
+  settings.store.budget = {1000, 1000, 1000, 1000};
+  settings.bounds.retry_ratio = 1.0;
+  return settings;
+}
+
+}  // namespace
+
+std::string GatewayFixture::HeaderOf(const Headers& headers,
+                                     const std::string& name) {
+  const std::string* value = FindHeader(headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+Deployment GatewayFixture::MakeDeployment(std::uint64_t version) {
+  Deployment deployment;
+  deployment.version = version;
+  const auto route = [](std::string name, RouteKind kind, std::string service,
+                        std::uint32_t attempts) {
+    ForwardingRoute made;
+    made.name = name;
+    made.host = "fleet";
+    made.path_prefix = "/" + name + "/";
+    made.kind = kind;
+    made.shares = {{std::move(service), 1.0}};
+    made.timeout = seconds(4);
+    made.objective = milliseconds(250);
+    made.max_attempts = attempts;
+    return made;
+  };
+  deployment.routes = {route("lookup", RouteKind::kIdempotent, "app", 2),
+                       route("order", RouteKind::kNonIdempotent, "app", 1),
+                       route("stream", RouteKind::kStreaming, "engines", 1)};
+  EngineTraits engine;
+  engine.slots = 24;
+  engine.memory_tokens = 30000;
+  engine.bytes_per_token = 131072;
+  engine.link_mbps = 19000;
+  engine.can_move = true;
+  deployment.services = {{"app", std::nullopt}, {"engines", engine}};
+  deployment.holders = {
+      {OrganisationId{"panel"}, {Sha256Hex("key-1")}, std::nullopt}};
+  return deployment;
+}
+
+GatewayFixture::GatewayFixture()
+    : host(Settings(), Codec()), deployment(MakeDeployment(7)) {
+  known_workers.clear();
+  known_deployments["main"] = this->deployment;
+  this->Carry(this->host.Start(this->now));
+  this->Pass(milliseconds(10));
+}
+
+void GatewayFixture::Feed(const Event& event) {
+  this->Carry(this->host.Step(this->now, event));
+}
+
+void GatewayFixture::AnswerStore(const HttpCall& call) {
+  std::string body = std::to_string(this->revision);
+  if (call.url == "http://store/deployments/list") {
+    body += " main";
+  } else if (call.url == "http://store/workers/list") {
+    for (const auto& [name, worker] : this->registrations) {
+      body += " " + name;
+    }
+  }
+  this->Feed(HttpHead{call.id, 200, {}});
+  this->Feed(HttpChunk{call.id, body});
+  this->Feed(HttpDone{call.id, HttpEnd::kComplete});
+}
+
+void GatewayFixture::Carry(Actions actions) {
+  for (Action& action : actions) {
+    if (auto* call = std::get_if<HttpCall>(&action)) {
+      const bool to_store = call->url.rfind("http://store/", 0) == 0;
+      (to_store ? this->store_calls : this->calls).push_back(std::move(*call));
+    } else if (auto* cancel = std::get_if<HttpCancel>(&action)) {
+      this->cancelled.push_back(cancel->id.value);
+      const auto same = [cancel](const HttpCall& each) {
+        return each.id == cancel->id;
+      };
+      this->store_calls.erase(std::remove_if(this->store_calls.begin(),
+                                             this->store_calls.end(), same),
+                              this->store_calls.end());
+    } else if (auto* head = std::get_if<ReplyHead>(&action)) {
+      ToldCaller& reply = this->told[head->id.value];
+      CHECK(reply.status == 0);  // one head only
+      reply.status = head->status;
+      reply.headers = head->headers;
+    } else if (auto* body = std::get_if<ReplyBody>(&action)) {
+      this->told[body->id.value].body += body->bytes;
+    } else if (auto* end = std::get_if<ReplyEnd>(&action)) {
+      ToldCaller& reply = this->told[end->id.value];
+      CHECK_FALSE(reply.ended);  // one end only
+      reply.ended = true;
+      reply.aborted = end->abort;
+    } else if (std::holds_alternative<LogLine>(action)) {
+      ++this->log_lines;
+    }
+  }
+}
+
+void GatewayFixture::Register(const std::string& name,
+                              const std::string& service, bool draining) {
+  WorkerRegistration worker;
+  worker.id = UpstreamId{name};
+  worker.service = service;
+  worker.address = name + ":80";
+  worker.domain = FailureDomainId{"here"};
+  worker.slots = 6;
+  worker.draining = draining;
+  this->registrations[name] = worker;
+  known_workers[name] = worker;
+  ++this->revision;
+  this->Pass(milliseconds(30));
+  for (const HttpCall& call : std::exchange(this->store_calls, {})) {
+    if (call.url != "http://store/workers/watch") {
+      this->store_calls.push_back(call);
+      continue;
+    }
+    this->Feed(HttpHead{call.id, 200, {}});
+    this->Feed(HttpChunk{call.id, std::to_string(this->revision) + " " + name});
+    this->Feed(HttpDone{call.id, HttpEnd::kComplete});
+  }
+}
+
+void GatewayFixture::Unregister(const std::string& name) {
+  this->registrations.erase(name);
+  ++this->revision;
+  this->Pass(milliseconds(30));
+  for (const HttpCall& call : std::exchange(this->store_calls, {})) {
+    if (call.url != "http://store/workers/watch") {
+      this->store_calls.push_back(call);
+      continue;
+    }
+    this->Feed(HttpHead{call.id, 200, {}});
+    this->Feed(
+        HttpChunk{call.id, std::to_string(this->revision) + " -" + name});
+    this->Feed(HttpDone{call.id, HttpEnd::kComplete});
+  }
+}
+
+void GatewayFixture::Adopt(Deployment next) {
+  this->deployment = std::move(next);
+  known_deployments["main"] = this->deployment;
+  ++this->revision;
+  for (const HttpCall& call : std::exchange(this->store_calls, {})) {
+    if (call.url != "http://store/deployments/watch") {
+      this->store_calls.push_back(call);
+      continue;
+    }
+    this->Feed(HttpHead{call.id, 200, {}});
+    this->Feed(HttpChunk{call.id, std::to_string(this->revision) + " main"});
+    this->Feed(HttpDone{call.id, HttpEnd::kComplete});
+  }
+}
+
+RequestId GatewayFixture::Ask(const std::string& path, const std::string& key) {
+  CallerRequest request;
+  request.id = RequestId{++this->last_request};
+  request.method = "POST";
+  request.path = path;
+  request.target = path + "?a=%20b";
+  request.headers = {{"Host", "fleet"},
+                     {"id", "r" + std::to_string(this->last_request)},
+                     {"key", key}};
+  request.body = "body";
+  this->Feed(request);
+  return RequestId{this->last_request};
+}
+
+void GatewayFixture::Leave(RequestId id) { this->Feed(CallerGone{id}); }
+
+std::vector<HttpCall> GatewayFixture::TakeCalls() {
+  std::vector<HttpCall> taken;
+  for (HttpCall& call : std::exchange(this->calls, {})) {
+    const bool load_report = call.url.size() > 7 &&
+                             call.url.substr(call.url.size() - 7) == "/report";
+    (load_report ? this->calls : taken).push_back(std::move(call));
+  }
+  return taken;
+}
+
+HttpCall GatewayFixture::Call() {
+  std::vector<HttpCall> taken = this->TakeCalls();
+  REQUIRE(taken.size() == 1);
+  return taken.front();
+}
+
+HttpCall GatewayFixture::Order(const std::string& path) {
+  for (auto it = this->calls.rbegin(); it != this->calls.rend(); ++it) {
+    const std::string& url = it->url;
+    const bool found =
+        url.size() >= path.size() &&
+        url.compare(url.size() - path.size(), path.size(), path) == 0;
+    if (found) {
+      HttpCall call = *it;
+      this->calls.erase(std::next(it).base());
+      return call;
+    }
+  }
+  FAIL("no call ends with " << path);
+  return {};
+}
+
+void GatewayFixture::Head(const HttpCall& call, int status, Headers extra) {
+  Headers headers = {{"id", HeaderOf(call.headers, "id")}, {"signed", "yes"}};
+  for (Header& header : extra) {
+    const auto same = [&header](const Header& each) {
+      return each.name == header.name;
+    };
+    headers.erase(std::remove_if(headers.begin(), headers.end(), same),
+                  headers.end());
+    if (!header.value.empty()) {
+      headers.push_back(header);
+    }
+  }
+  this->Feed(HttpHead{call.id, status, headers});
+}
+
+void GatewayFixture::Bytes(const HttpCall& call, const std::string& bytes) {
+  this->Feed(HttpChunk{call.id, bytes});
+}
+
+void GatewayFixture::Done(const HttpCall& call, HttpEnd end) {
+  this->Feed(HttpDone{call.id, end});
+}
+
+void GatewayFixture::Answer(const HttpCall& call, int status,
+                            const std::string& body, Headers extra) {
+  this->Head(call, status, std::move(extra));
+  this->Bytes(call, body);
+  this->Done(call);
+}
+
+void GatewayFixture::Pass(Duration span) {
+  const Instant end = this->now + span;
+  while (true) {
+    if (!this->store_away) {
+      // Lists are answered at once, quiet watches at the end.
+      for (const HttpCall& call : std::exchange(this->store_calls, {})) {
+        const bool list = call.url.find("/list") != std::string::npos;
+        if (list) {
+          this->AnswerStore(call);
+        } else {
+          this->store_calls.push_back(call);
+        }
+      }
+    }
+    const Instant next = this->host.NextWakeup();
+    if (next > end) {
+      break;
+    }
+    this->now = std::max(this->now, next);
+    this->Carry(this->host.Tick(this->now));
+  }
+  this->now = end;
+  if (!this->store_away) {
+    for (const HttpCall& call : std::exchange(this->store_calls, {})) {
+      this->AnswerStore(call);
+    }
+  }
+}
+
+bool GatewayFixture::Cancelled(const HttpCall& call) const {
+  return std::find(this->cancelled.begin(), this->cancelled.end(),
+                   call.id.value) != this->cancelled.end();
+}
+
+}  // namespace limpetlink::testing
