Take cheap watches for news and few linearizable calls as proof; compare two of many engines

Change: watches that may be stale bring the news, one linearizable call a kind and part of its bound proves that nothing is missed; load questions are rarer where more engines stand near; hosts with many engines near compare two.

--- a/src/discovery/detail/kind_watch.h
+++ b/src/discovery/detail/kind_watch.h
@@ -15,7 +15,9 @@
 /// @brief How a kind is followed.
 struct KindWatchSettings {
   std::string kind;
-  Duration wait{std::chrono::seconds(1)};  ///< a quiet watch ends after it
+  /// A linearizable call proves this often that nothing is missing. Between
+  /// two of them cheap watches, whose answers may be stale, bring the news.
+  Duration prove_every{std::chrono::milliseconds(1500)};
   Duration pause{0};  ///< after changes, so that one call brings several
 };
 
@@ -68,6 +70,7 @@
   KindWatchHooks hooks;
   MetadataStoreClient* client;
   StoreOp op;
+  bool proving = false;  ///< the call in progress is linearizable
   bool listing = true;
   bool known = false;
   std::vector<ObjectRecord> pages;
--- a/src/discovery/kind_watch.cc
+++ b/src/discovery/kind_watch.cc
@@ -9,6 +9,8 @@
 
 // Between a failed call and the next; the client's own backoff comes on top.
 constexpr Duration kAfterFailure = std::chrono::milliseconds(50);
+// Of a call that is to be answered at once.
+constexpr Duration kNoWait = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -20,11 +22,16 @@
 
 void KindWatch::Call(Instant now) {
   this->next_call = kNever;
+  if (this->listing) {
+    this->proving = true;
+    this->op = this->client->ListRecords(now, this->settings.kind, this->after);
+    return;
+  }
+  const Duration left = this->fresh_at + this->settings.prove_every - now;
+  this->proving = left <= kNoWait;
   this->op =
-      this->listing
-          ? this->client->ListRecords(now, this->settings.kind, this->after)
-          : this->client->WatchKind(now, this->settings.kind, this->revision,
-                                    this->settings.wait);
+      this->client->WatchKind(now, this->settings.kind, this->revision,
+                              this->proving ? kNoWait : left, !this->proving);
 }
 
 bool KindWatch::OnResult(Instant now, StoreResult* result) {
@@ -72,7 +79,9 @@
 }
 
 void KindWatch::TakeChanges(Instant now, StoreResult* result) {
-  this->fresh_at = std::max(this->fresh_at, result->asked_at);
+  if (this->proving) {
+    this->fresh_at = std::max(this->fresh_at, result->asked_at);
+  }
   this->revision = std::max(this->revision, result->revision);
   for (const ObjectRecord& record : result->records) {
     this->hooks.change(now, record);
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -127,7 +127,8 @@
 
   // Moves; in forwarding_moves.cc.
   void AskReport(Instant now, const WorkerRegistration& worker, bool leaving);
-  void AskLoads(Instant now);
+  /// @return engines near by
+  std::size_t AskLoads(Instant now);
   void TakeLoad(Instant now, const ReportCall& call);
   bool OnMoveCall(Instant now, const HttpDone& done);
   bool TakeMoveHead(const HttpHead& head);
--- a/src/gateway/detail/settings.h
+++ b/src/gateway/detail/settings.h
@@ -19,13 +19,15 @@
   Duration apply{std::chrono::milliseconds(2500)};
   /// A key that was taken away must not work for longer.
   Duration revocation{std::chrono::milliseconds(5000)};
+  /// A worker that leaves may get new work for no longer.
+  Duration drain{std::chrono::milliseconds(2500)};
   bool strict_revocation = true;  ///< also while the store cannot be reached
   double retry_ratio = 0.1;       ///< repeats for each request of a service
   Duration retry_window{std::chrono::seconds(10)};
 
   friend bool operator==(const GatewayBounds& a, const GatewayBounds& b) {
     const auto all = [](const GatewayBounds& each) {
-      return std::tie(each.grace, each.apply, each.revocation,
+      return std::tie(each.grace, each.apply, each.revocation, each.drain,
                       each.strict_revocation, each.retry_ratio,
                       each.retry_window);
     };
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -34,6 +34,8 @@
 // Engines near by are asked for their load this often; their figures lag by
 // about as much.
 constexpr Duration kAskLoadsEvery = std::chrono::milliseconds(500);
+// With more engines near by each is asked less often: more hosts ask them.
+constexpr double kLoadsEachRound = 3.0;
 constexpr int kLowestPriority = 9;
 // Retry-After: long enough to outlast a worker's replacement in part, spread
 // so that refused callers do not come back together, and at most a third of
@@ -683,8 +685,10 @@
 
 void Forwarding::Tick(Instant now) {
   if (this->next_loads <= now) {
-    this->next_loads = now + kAskLoadsEvery;
-    this->AskLoads(now);
+    const std::size_t asked = this->AskLoads(now);
+    const double rounds =
+        std::max(1.0, static_cast<double>(asked) / kLoadsEachRound);
+    this->next_loads = now + FromSeconds(rounds * ToSeconds(kAskLoadsEvery));
   }
   while (!this->timers.empty() && this->timers.begin()->due <= now) {
     const Timer timer = *this->timers.begin();
--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -21,8 +21,6 @@
 constexpr Duration kLastEvents = std::chrono::milliseconds(25);
 // From the notice to the first slot: the report's round trip.
 constexpr Duration kReportTime = std::chrono::milliseconds(8);
-// A stream whose expected rest is shorter ends by itself within the notice.
-constexpr Duration kTimePerToken = std::chrono::microseconds(9000);
 
 std::string Millis(Duration value) {
   return std::to_string(
@@ -61,11 +59,12 @@
   this->actions.emplace_back(std::move(call));
 }
 
-void Forwarding::AskLoads(Instant now) {
+std::size_t Forwarding::AskLoads(Instant now) {
   const std::shared_ptr<const RouteTable> table =
       this->hooks.deployment(now).table;
+  std::size_t near = 0;
   if (table == nullptr) {
-    return;
+    return near;
   }
   // A worker that does not answer keeps its call; it is not asked again.
   const auto asked = [this](const UpstreamId& worker) {
@@ -79,12 +78,16 @@
     }
     for (const WorkerRegistration* worker :
          this->directory->OpenWorkers(service.name)) {
-      if (this->DistanceTo(worker->domain) == Distance::kSameDomain &&
-          !asked(worker->id)) {
+      if (this->DistanceTo(worker->domain) != Distance::kSameDomain) {
+        continue;
+      }
+      ++near;
+      if (!asked(worker->id)) {
         this->AskReport(now, *worker, false);
       }
     }
   }
+  return near;
 }
 
 void Forwarding::TakeLoad(Instant now, const ReportCall& call) {
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -7,9 +7,10 @@
 namespace limpetlink {
 namespace {
 
-// A quiet watch of the configuration proves its freshness this often.
-constexpr Duration kDeploymentWait = std::chrono::milliseconds(1000);
-constexpr Duration kWorkersWait = std::chrono::milliseconds(1500);
+// How often it is proved that no change was missed, as a part of the time in
+// which the change must be in force. The rest is for a call that is lost.
+constexpr double kProveDeployment = 0.5;
+constexpr double kProveWorkers = 0.6;
 // Registrations change several times a second while workers are replaced; one
 // call then brings several changes. Far below the bound on leaving workers.
 constexpr Duration kWorkersPause = std::chrono::milliseconds(20);
@@ -29,29 +30,37 @@
     : settings(std::move(settings)),
       codec(std::move(codec)),
       store(this->settings.store, [this] { return CallId{++this->last_call}; }),
-      deployments({this->codec.deployment_kind, kDeploymentWait, Duration{0}},
-                  {[this](Instant now, std::vector<ObjectRecord> records) {
-                     for (const ObjectRecord& record : records) {
-                       this->TakeDeployment(now, record);
-                     }
-                   },
-                   [this](Instant now, const ObjectRecord& record) {
-                     this->TakeDeployment(now, record);
-                   }},
-                  &this->store),
-      workers({this->codec.worker_kind, kWorkersWait, kWorkersPause},
-              {[this](Instant now, std::vector<ObjectRecord> records) {
-                 std::vector<UpstreamId> listed;
-                 for (const ObjectRecord& record : records) {
-                   listed.push_back(UpstreamId{record.name});
-                   this->TakeWorker(now, record);
-                 }
-                 this->directory.Retain(now, listed);
-               },
-               [this](Instant now, const ObjectRecord& record) {
-                 this->TakeWorker(now, record);
-               }},
-              &this->store),
+      deployments(
+          {this->codec.deployment_kind,
+           FromSeconds(kProveDeployment *
+                       ToSeconds(std::min(this->settings.bounds.apply,
+                                          this->settings.bounds.revocation))),
+           Duration{0}},
+          {[this](Instant now, std::vector<ObjectRecord> records) {
+             for (const ObjectRecord& record : records) {
+               this->TakeDeployment(now, record);
+             }
+           },
+           [this](Instant now, const ObjectRecord& record) {
+             this->TakeDeployment(now, record);
+           }},
+          &this->store),
+      workers(
+          {this->codec.worker_kind,
+           FromSeconds(kProveWorkers * ToSeconds(this->settings.bounds.drain)),
+           kWorkersPause},
+          {[this](Instant now, std::vector<ObjectRecord> records) {
+             std::vector<UpstreamId> listed;
+             for (const ObjectRecord& record : records) {
+               listed.push_back(UpstreamId{record.name});
+               this->TakeWorker(now, record);
+             }
+             this->directory.Retain(now, listed);
+           },
+           [this](Instant now, const ObjectRecord& record) {
+             this->TakeWorker(now, record);
+           }},
+          &this->store),
       forwarding(
           this->settings, this->codec,
           {[this](Instant now) {
--- a/src/metadata_store/client.cc
+++ b/src/metadata_store/client.cc
@@ -104,8 +104,12 @@
 
 StoreOp MetadataStoreClient::Watch(Instant now, const ObjectKey& key,
                                    std::uint64_t version, Duration wait) {
-  return this->Add(now,
-                   StoreRequest{StoreVerb::kWatch, key, {}, 0, version, wait});
+  StoreRequest request;
+  request.verb = StoreVerb::kWatch;
+  request.key = key;
+  request.version = version;
+  request.wait = wait;
+  return this->Add(now, std::move(request));
 }
 
 StoreOp MetadataStoreClient::ListRecords(Instant now, const std::string& kind,
@@ -115,10 +119,15 @@
 }
 
 StoreOp MetadataStoreClient::WatchKind(Instant now, const std::string& kind,
-                                       std::uint64_t revision, Duration wait) {
-  return this->Add(
-      now,
-      StoreRequest{StoreVerb::kWatchKind, {kind, {}}, {}, 0, revision, wait});
+                                       std::uint64_t revision, Duration wait,
+                                       bool may_be_stale) {
+  StoreRequest request;
+  request.verb = StoreVerb::kWatchKind;
+  request.key.kind = kind;
+  request.version = revision;
+  request.wait = wait;
+  request.may_be_stale = may_be_stale;
+  return this->Add(now, std::move(request));
 }
 
 StoreOp MetadataStoreClient::Hosts(Instant now) {
--- a/src/metadata_store/detail/client.h
+++ b/src/metadata_store/detail/client.h
@@ -94,8 +94,10 @@
   /// records, kHistoryGone, kThrottled or kUnavailable. Never repeated.
   /// @param revision changes above it are wanted
   /// @param wait how long the store holds the call at most
+  /// @param may_be_stale the answer may be seconds old and costs less
   StoreOp WatchKind(Instant now, const std::string& kind,
-                    std::uint64_t revision, Duration wait);
+                    std::uint64_t revision, Duration wait,
+                    bool may_be_stale = false);
 
   /// @brief Reads the host list.
   StoreOp Hosts(Instant now);
--- a/src/metadata_store/detail/dialect.h
+++ b/src/metadata_store/detail/dialect.h
@@ -18,6 +18,7 @@
   std::string after{};        ///< list: only names above this one
   std::uint32_t limit = 0;    ///< kList: most rows wanted
   std::uint64_t version = 0;  ///< watch: changes above this version or revision
+  bool may_be_stale = false;  ///< cheaper; the answer may be seconds old
   Duration wait{0};           ///< watch: how long the store may hold the call
 };
 
--- a/src/routing/detail/load_table.h
+++ b/src/routing/detail/load_table.h
@@ -72,11 +72,14 @@
   void Forget(const UpstreamId& worker);
 
   /// @brief Chooses the worker with the least estimated load, near ones first.
-  /// Ejected workers are taken only when there is no other.
+  /// Ejected workers are taken only when there is no other. A worker whose
+  /// memory is not told is taken to be loaded as the others are. Of many
+  /// candidates at the least distance only a random part is compared: many
+  /// hosts read the same lagging reports, and would all choose the same worker.
   /// @param candidates workers that take new work
   /// @return the choice, or nothing when there is no candidate
   std::optional<LoadChoice> Choose(Instant now,
-                                   const std::vector<LoadCandidate>& candidates,
+                                   std::vector<LoadCandidate> candidates,
                                    const RequestSize& size);
 
  private:
@@ -98,6 +101,10 @@
     WorkerHealth health;
   };
 
+  std::vector<LoadCandidate> Sample(std::vector<LoadCandidate> candidates);
+  bool MemoryTold(Instant now, const Entry& entry) const;
+  double UsualLoad(Instant now, const std::vector<LoadCandidate>& candidates,
+                   const RequestSize& size);
   double MemoryOf(Instant now, const Entry& entry, const RequestSize& size,
                   std::uint32_t others) const;
   double LoadOf(Instant now, const Entry& entry, const LoadCandidate& candidate,
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -5,13 +5,18 @@
 namespace limpetlink {
 namespace {
 
-// A report tells nothing of what other hosts do now once it is this old.
+// A report tells nothing of what other hosts do now once it is this old. An old
+// one is still nearer the truth than this host's own requests alone.
 constexpr Duration kReportLife = std::chrono::milliseconds(1500);
+constexpr Duration kMemoryReportLife = std::chrono::milliseconds(4000);
 // Load that a worker farther away must have less to be chosen: a round trip
 // between regions is billed and takes as long as an order's work.
 constexpr double kOtherDomain = 0.10;
 constexpr double kOtherRegion = 0.60;
 constexpr double kRandomPart = 0.04;
+// Near candidates that are all compared, and how many of more are.
+constexpr std::size_t kComparedAll = 5;
+constexpr std::size_t kCompared = 2;
 // Weight of the newest attempt in a worker's share of failures.
 constexpr double kNewestFailure = 0.15;
 // Load that a worker which fails every attempt is counted to have on top.
@@ -40,7 +45,7 @@
   entry.tokens += size.tokens;
   if (size.tokens > 0) {
     entry.begun.push_back({now, size.tokens});
-    while (now - entry.begun.front().at > kReportLife) {
+    while (now - entry.begun.front().at > kMemoryReportLife) {
       entry.begun.pop_front();
     }
   }
@@ -63,7 +68,7 @@
   const bool told_more = entry.reported &&
                          entry.report.memory_tokens.has_value() &&
                          !report.memory_tokens.has_value() &&
-                         now - entry.reported_at <= kReportLife;
+                         now - entry.reported_at <= kMemoryReportLife;
   if (told_more) {
     return;  // the fuller report counts while it is fresh
   }
@@ -88,12 +93,30 @@
   this->entries.erase(worker);
 }
 
+bool LoadTable::MemoryTold(Instant now, const Entry& entry) const {
+  return entry.reported && entry.report.memory_tokens.has_value() &&
+         now - entry.reported_at <= kMemoryReportLife;
+}
+
+double LoadTable::UsualLoad(Instant now,
+                            const std::vector<LoadCandidate>& candidates,
+                            const RequestSize& size) {
+  double sum = 0;
+  std::uint32_t count = 0;
+  for (const LoadCandidate& candidate : candidates) {
+    const Entry& entry = this->entries[candidate.worker];
+    if (this->MemoryTold(now, entry)) {
+      sum += this->LoadOf(now, entry, candidate, size);
+      ++count;
+    }
+  }
+  return count == 0 ? 0.0 : sum / count;
+}
+
 double LoadTable::MemoryOf(Instant now, const Entry& entry,
                            const RequestSize& size,
                            std::uint32_t others) const {
-  const bool told = entry.reported && entry.report.memory_tokens.has_value() &&
-                    now - entry.reported_at <= kReportLife;
-  if (!told) {
+  if (!this->MemoryTold(now, entry)) {
     return static_cast<double>(entry.tokens + size.tokens) +
            kOtherRequestTokens * others;
   }
@@ -124,15 +147,39 @@
   return load + kFailureLoad * entry.failures;
 }
 
+std::vector<LoadCandidate> LoadTable::Sample(
+    std::vector<LoadCandidate> candidates) {
+  const auto near = [](const LoadCandidate& candidate) {
+    return candidate.distance == Distance::kSameDomain;
+  };
+  const auto far = std::partition(candidates.begin(), candidates.end(), near);
+  std::size_t left = static_cast<std::size_t>(far - candidates.begin());
+  if (left <= kComparedAll) {
+    return candidates;
+  }
+  // The sample is moved to the front, then the rest of the near ones dropped.
+  for (std::size_t i = 0; i < kCompared; ++i) {
+    const std::size_t other = i + this->random.Below(left - i);
+    std::swap(candidates[i], candidates[other]);
+  }
+  candidates.erase(candidates.begin() + kCompared, far);
+  return candidates;
+}
+
 std::optional<LoadChoice> LoadTable::Choose(
-    Instant now, const std::vector<LoadCandidate>& candidates,
+    Instant now, std::vector<LoadCandidate> candidates,
     const RequestSize& size) {
+  const double usual = this->UsualLoad(now, candidates, size);
+  candidates = this->Sample(std::move(candidates));
   std::optional<LoadChoice> best;
   double best_score = 0;
   bool best_ejected = true;
   for (const LoadCandidate& candidate : candidates) {
     const Entry& entry = this->entries[candidate.worker];
-    const double load = this->LoadOf(now, entry, candidate, size);
+    double load = this->LoadOf(now, entry, candidate, size);
+    if (candidate.memory_tokens > 0 && !this->MemoryTold(now, entry)) {
+      load = std::max(load, usual);
+    }
     const double score = load + DistanceLoad(candidate.distance) +
                          kRandomPart * this->random.Fraction();
     const bool ejected = entry.health.Ejected(now);
