Tell neighbours what is placed and which workers leave

Change: hosts of a failure domain exchange their own requests at each worker and the news of leaving workers over datagrams (CBOR); seeds name the neighbours; all of it is advice. Engines that still read prompts count as loaded.

--- a/programs/limpet_entry/gateway_process.cc
+++ b/programs/limpet_entry/gateway_process.cc
@@ -42,6 +42,8 @@
   settings.self = HostId{node.node_name};
   settings.failure_domain = FailureDomainId{node.failure_domain};
   settings.region_of = node.region_of;
+  settings.neighbour_address = node.neighbour_address;
+  settings.seeds = node.seeds;
   settings.bounds = node.bounds;
   settings.seed =
       (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
@@ -64,7 +66,8 @@
         node(std::move(node)),
         writer(WriterSettings(this->node), std::cout),
         host(HostSettings(this->node), platform::PlatformCodec()),
-        loop({this->node.callers_address, this->node.operators_address},
+        loop({this->node.callers_address, this->node.neighbour_address,
+              this->node.operators_address},
              HooksOf(&this->host), this->Hooks()) {}
 
   int Run() {
--- a/src/event_loop/detail/event_loop.h
+++ b/src/event_loop/detail/event_loop.h
@@ -15,8 +15,9 @@
 
 /// @brief How an EventLoop is set up.
 struct EventLoopSettings {
-  std::string callers;    ///< "ip:port"; port 0 takes a free one
-  std::string operators;  ///< "ip:port"; its requests bear `for_operators`
+  std::string callers;     ///< "ip:port"; port 0 takes a free one
+  std::string neighbours;  ///< "ip:port" for datagrams; empty: none
+  std::string operators;   ///< "ip:port"; its requests bear `for_operators`
 };
 
 /// @brief What the loop asks of the process around it.
--- a/src/event_loop/event_loop.cc
+++ b/src/event_loop/event_loop.cc
@@ -12,6 +12,7 @@
 
 #include "event_loop/detail/call_client.h"
 #include "event_loop/detail/caller_server.h"
+#include "event_loop/detail/datagrams.h"
 
 namespace limpetlink {
 namespace {
@@ -44,6 +45,8 @@
         operators(&this->context, true, this->ServerHooks()),
         client(&this->context,
                [this](Event event) { this->Post(std::move(event)); }),
+        datagrams(&this->context,
+                  [this](Event event) { this->Post(std::move(event)); }),
         wakeup(this->context),
         sweep(this->context),
         reload(this->context),
@@ -55,6 +58,9 @@
     if (status.ok()) {
       status = this->operators.Listen(this->settings.operators);
     }
+    if (status.ok() && !this->settings.neighbours.empty()) {
+      status = this->datagrams.Bind(this->settings.neighbours);
+    }
     return status;
   }
 
@@ -177,10 +183,7 @@
   void CarryOne(const HttpCancel& cancel) { this->client.Take(cancel); }
   void CarryOne(const HttpPause& pause) { this->client.Take(pause); }
   void CarryOne(const HttpOpen& open) { this->client.Take(open); }
-  void CarryOne(const PeerSend& send) {
-    this->CarryOne(LogLine{
-        LogLevel::kError, "no links to peers here", {{"to", send.to.value}}});
-  }
+  void CarryOne(const PeerSend& send) { this->datagrams.Send(send); }
   void CarryOne(const LogLine& line) { this->hooks.log(line, BootNow()); }
   void CarryOne(const SpanRecord& span) { this->hooks.span(span); }
 
@@ -235,6 +238,7 @@
   event_loop::CallerServer callers;
   event_loop::CallerServer operators;
   event_loop::CallClient client;
+  event_loop::Datagrams datagrams;
   asio::steady_timer wakeup;
   asio::steady_timer sweep;
   asio::steady_timer reload;
--- a/src/event_loop/tests/event_loop_test.cc
+++ b/src/event_loop/tests/event_loop_test.cc
@@ -90,8 +90,8 @@
     hooks.log = [](const LogLine&, Instant) {};
     hooks.span = [](const SpanRecord&) {};
     this->loop = std::make_unique<EventLoop>(
-        EventLoopSettings{"127.0.0.1:0", "127.0.0.1:0"}, HooksOf(&this->core),
-        hooks);
+        EventLoopSettings{"127.0.0.1:0", "", "127.0.0.1:0"},
+        HooksOf(&this->core), hooks);
     REQUIRE(this->loop->Start().ok());
   }
 
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -34,6 +34,8 @@
   std::function<Duration(Instant)> time_to_end;
   /// A worker says of itself that it leaves.
   std::function<void(Instant, const UpstreamId&)> worker_leaves;
+  /// The own requests at some worker changed.
+  std::function<void(Instant)> loads_changed;
 };
 
 /// @brief The requests that have no final answer yet, one flow each.
@@ -68,6 +70,9 @@
   /// @brief Ends all flows, as the process must end now.
   void EndAll(Instant now);
 
+  /// @return what this host and others have placed
+  LoadTable& Loads() { return this->loads; }
+
   std::size_t Open() const { return this->flows.size(); }
   const std::map<std::uint64_t, Forwarded>& Flows() const {
     return this->flows;
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "gateway/detail/forwarding.h"
+#include "neighbours/neighbours.h"
 
 namespace limpetlink {
 
@@ -47,11 +48,12 @@
   bool Ready(Instant now) const;
 
  private:
+  NeighbourHooks MakeNeighbourHooks();
   void TakeResults(Instant now);
   Actions Collect(Instant now);
   void TakeDeployment(Instant now, const ObjectRecord& record);
   void TakeWorker(Instant now, const ObjectRecord& record);
-  void TakeLeaving(Instant now, const UpstreamId& id);
+  void TakeLeaving(Instant now, const UpstreamId& id, const char* source);
   void AnswerOperator(Instant now, const CallerRequest& request);
   std::string RenderRequests(Instant now) const;
   void LogStoreMode();
@@ -67,6 +69,7 @@
   KindWatch deployments;
   KindWatch workers;
   Forwarding forwarding;
+  Neighbours neighbours;
   Actions actions;
   StoreMode told_mode = StoreMode::kNormal;
   bool told_ready = false;
--- a/src/gateway/detail/settings.h
+++ b/src/gateway/detail/settings.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "base/base.h"
 #include "metadata_store/metadata_store.h"
@@ -41,6 +42,8 @@
   FailureDomainId failure_domain;
   std::map<std::string, std::string> region_of;  ///< by failure domain
   MetadataStoreSettings store;
+  std::string neighbour_address;   ///< "ip:port" for datagrams; empty: none
+  std::vector<std::string> seeds;  ///< hosts that know neighbours
   GatewayBounds bounds;
   std::uint64_t seed = 1;
 };
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -285,6 +285,7 @@
   ++flow->runs;
   flow->tried.push_back(choice->worker);
   this->loads.Begin(now, choice->worker, flow->size);
+  this->hooks.loads_changed(now);
   this->flow_of_call[attempt.call.value] = flow->request.id.value;
   const DeploymentInForce force = this->hooks.deployment(now);
   this->Log(LogLevel::kInfo, "request placed",
@@ -325,6 +326,8 @@
   }
   attempt->status = head.status;
   attempt->headers = head.headers;
+  this->loads.Started(attempt->worker);
+  this->hooks.loads_changed(now);
   attempt->said = this->codec.worker_answer(head.headers);
   if (attempt->said.load.has_value()) {
     this->loads.Report(now, attempt->worker, *attempt->said.load);
@@ -455,7 +458,8 @@
   const Attempt attempt = std::move(*found);
   flow.running.erase(found);
   this->flow_of_call.erase(call.value);
-  this->loads.End(now, attempt.worker, flow.size);
+  this->loads.End(now, attempt.worker, flow.size, attempt.status != 0);
+  this->hooks.loads_changed(now);
   const bool silent =
       end == AttemptEnd::kNotConnected || end == AttemptEnd::kCut;
   const bool failed = end != AttemptEnd::kAnswered;
@@ -630,7 +634,8 @@
   for (const Attempt& attempt : flow->running) {
     this->actions.emplace_back(HttpCancel{attempt.call});
     this->flow_of_call.erase(attempt.call.value);
-    this->loads.End(now, attempt.worker, flow->size);
+    this->loads.End(now, attempt.worker, flow->size, attempt.status != 0);
+    this->hooks.loads_changed(now);
     if (silent && attempt.status == 0) {
       this->loads.Note(now, attempt.worker, true, true);
     }
--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -442,6 +442,7 @@
   attempt.sent = now;
   this->BudgetOf(flow->service).Spend(now);  // an arrival beyond the first
   this->loads.Begin(now, target, flow->size);
+  this->hooks.loads_changed(now);
   this->flow_of_call[attempt.call.value] = flow->request.id.value;
   this->Log(LogLevel::kInfo, "stream resumed",
             {{"request", flow->terms.request_id},
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -74,9 +74,44 @@
                         : Duration::max();
            },
            [this](Instant now, const UpstreamId& id) {
-             this->TakeLeaving(now, id);
-           }},
-          &this->directory, &this->metrics) {}
+             this->TakeLeaving(now, id, "the worker");
+           },
+           [this](Instant now) { this->neighbours.NoteChange(now); }},
+          &this->directory, &this->metrics),
+      neighbours({this->settings.self, this->settings.failure_domain,
+                  this->settings.neighbour_address, this->settings.seeds},
+                 this->MakeNeighbourHooks()) {}
+
+NeighbourHooks GatewayHost::MakeNeighbourHooks() {
+  NeighbourHooks hooks;
+  hooks.shares = [this] {
+    std::vector<WorkerShare> shares;
+    for (const OwnLoad& load : this->forwarding.Loads().OwnLoads()) {
+      shares.push_back({load.worker, load.running, load.waiting, load.tokens});
+    }
+    return shares;
+  };
+  hooks.take_shares = [this](Instant now, const HostId& host,
+                             const std::vector<WorkerShare>& shares) {
+    std::vector<OwnLoad> loads;
+    for (const WorkerShare& share : shares) {
+      loads.push_back(
+          {share.worker, share.running, share.waiting, share.tokens});
+    }
+    this->forwarding.Loads().TakeShares(now, host, loads);
+  };
+  hooks.forget = [this](const HostId& host) {
+    this->Log(LogLevel::kInfo, "neighbour lost", {{"neighbour", host.value}});
+    this->forwarding.Loads().ForgetHost(host);
+  };
+  hooks.take_leaving = [this](Instant now, const LeavingWorker& worker) {
+    const WorkerRegistration* known = this->directory.Find(worker.worker);
+    if (known != nullptr && known->started_at == worker.started_at) {
+      this->TakeLeaving(now, worker.worker, "a neighbour");
+    }
+  };
+  return hooks;
+}
 
 void GatewayHost::Log(LogLevel level, std::string message,
                       std::vector<LogField> fields) {
@@ -104,6 +139,10 @@
     this->forwarding.OnGone(now, *gone);
   } else if (const auto* drained = std::get_if<CallerDrained>(&event)) {
     this->forwarding.OnDrained(now, *drained);
+  } else if (const auto* frame = std::get_if<PeerFrame>(&event)) {
+    if (!this->neighbours.OnFrame(now, *frame)) {
+      this->metrics.Add(Counter::kPeerFramesRefused);
+    }
   } else if (const auto* head = std::get_if<HttpHead>(&event)) {
     this->forwarding.OnHead(now, *head) || this->store.OnHead(now, *head);
   } else if (const auto* chunk = std::get_if<HttpChunk>(&event)) {
@@ -121,6 +160,7 @@
   this->workers.Tick(now);
   this->directory.Tick(now);
   this->forwarding.Tick(now);
+  this->neighbours.Tick(now);
   return this->Collect(now);
 }
 
@@ -196,6 +236,7 @@
   const WorkerRegistration* known = this->directory.Find(id);
   if (record.deleted) {
     if (known != nullptr && !known->draining) {
+      this->neighbours.NoteLeaving(now, {id, known->started_at});
       this->forwarding.OnLeaving(now, *known);  // it serves for a while yet
     }
     this->Log(
@@ -241,19 +282,22 @@
   const WorkerRegistration worker = *read;
   this->directory.Put(*std::move(read));
   if (leaves) {
+    this->neighbours.NoteLeaving(now, {worker.id, worker.started_at});
     this->forwarding.OnLeaving(now, worker);
   }
 }
 
-void GatewayHost::TakeLeaving(Instant now, const UpstreamId& id) {
+void GatewayHost::TakeLeaving(Instant now, const UpstreamId& id,
+                              const char* source) {
   const WorkerRegistration* known = this->directory.Find(id);
   if (known == nullptr || known->draining) {
     return;
   }
   WorkerRegistration worker = *known;
   worker.draining = true;
-  this->Log(LogLevel::kInfo, "worker says that it leaves",
+  this->Log(LogLevel::kInfo, "worker leaves",
             {{"worker", id.value},
+             {"told_by", source},
              {"registrations_age_ms", Millis(this->workers.Age(now))}});
   this->directory.Put(worker);
   this->forwarding.OnLeaving(now, worker);
@@ -338,7 +382,8 @@
   }
   Actions collected = std::exchange(this->actions, {});
   for (Actions more :
-       {this->store.TakeActions(), this->forwarding.TakeActions()}) {
+       {this->store.TakeActions(), this->forwarding.TakeActions(),
+        this->neighbours.TakeActions()}) {
     std::move(more.begin(), more.end(), std::back_inserter(collected));
   }
   return collected;
--- /dev/null
+++ b/src/neighbours/message.cc
@@ -0,0 +1,130 @@
+#include <nlohmann/json.hpp>
+
+#include "neighbours/neighbours.h"
+#include "peers/detail/cbor.h"
+
+namespace limpetlink {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMaxBytes = 16U << 10U;
+constexpr std::size_t kMaxRows = 256;
+constexpr std::size_t kMaxText = 256;
+constexpr std::uint64_t kMaxTokens = 1ULL << 40U;
+constexpr std::uint64_t kMaxRunning = 1ULL << 20U;
+
+/// @brief Reads a message's members; one fault spoils it.
+class Reader {
+ public:
+  std::string Text(const Json& value) {
+    const bool readable =
+        value.is_string() &&
+        value.get_ref<const std::string&>().size() <= kMaxText;
+    this->sound = this->sound && readable;
+    return readable ? value.get<std::string>() : std::string();
+  }
+
+  std::uint64_t Number(const Json& value, std::uint64_t most) {
+    const bool readable =
+        value.is_number_unsigned() && value.get<std::uint64_t>() <= most;
+    this->sound = this->sound && readable;
+    return readable ? value.get<std::uint64_t>() : 0;
+  }
+
+  /// @brief Gives the rows of a list whose rows have so many columns.
+  const Json& Rows(const Json& root, const char* member, std::size_t columns) {
+    static const Json kNone = Json::array();
+    const auto found = root.find(member);
+    if (found == root.end() || !found->is_array() || found->size() > kMaxRows) {
+      this->sound = false;
+      return kNone;
+    }
+    for (const Json& row : *found) {
+      if (!row.is_array() || row.size() != columns) {
+        this->sound = false;
+        return kNone;
+      }
+    }
+    return *found;
+  }
+
+  bool sound = true;
+};
+
+}  // namespace
+
+std::string EncodeNeighbourMessage(const NeighbourMessage& message) {
+  Json shares = Json::array();
+  for (const WorkerShare& share : message.shares) {
+    shares.push_back(
+        {share.worker.value, share.running, share.waiting, share.tokens});
+  }
+  Json leaving = Json::array();
+  for (const LeavingWorker& worker : message.leaving) {
+    leaving.push_back({worker.worker.value, worker.started_at});
+  }
+  Json neighbours = Json::array();
+  for (const NeighbourAddress& neighbour : message.neighbours) {
+    neighbours.push_back({neighbour.host.value, neighbour.address});
+  }
+  const Json root = {
+      {"host", message.host.value},    {"domain", message.domain.value},
+      {"address", message.address},    {"sequence", message.sequence},
+      {"asks", message.asks},          {"shares", std::move(shares)},
+      {"leaving", std::move(leaving)}, {"neighbours", std::move(neighbours)}};
+  return EncodeCbor(root);
+}
+
+absl::StatusOr<NeighbourMessage> DecodeNeighbourMessage(
+    std::string_view bytes) {
+  const absl::Status unreadable =
+      MakeStatus(ErrorCode::kPeerRefused, "a neighbour's message is malformed");
+  CborBounds bounds;
+  bounds.max_bytes = kMaxBytes;
+  const absl::StatusOr<Json> decoded = DecodeCbor(bytes, bounds);
+  if (!decoded.ok() || !decoded->is_object()) {
+    return unreadable;
+  }
+  const Json& root = *decoded;
+  for (const char* member : {"host", "domain", "address", "sequence", "asks"}) {
+    if (!root.contains(member)) {
+      return unreadable;
+    }
+  }
+  Reader reader;
+  NeighbourMessage message;
+  message.host.value = reader.Text(root["host"]);
+  message.domain.value = reader.Text(root["domain"]);
+  message.address = reader.Text(root["address"]);
+  message.sequence = reader.Number(root["sequence"], UINT64_MAX);
+  reader.sound = reader.sound && root["asks"].is_boolean();
+  message.asks = reader.sound && root["asks"].get<bool>();
+  for (const Json& row : reader.Rows(root, "shares", 4)) {
+    WorkerShare share;
+    share.worker.value = reader.Text(row[0]);
+    share.running =
+        static_cast<std::uint32_t>(reader.Number(row[1], kMaxRunning));
+    share.waiting =
+        static_cast<std::uint32_t>(reader.Number(row[2], kMaxRunning));
+    share.tokens = reader.Number(row[3], kMaxTokens);
+    message.shares.push_back(std::move(share));
+  }
+  for (const Json& row : reader.Rows(root, "leaving", 2)) {
+    reader.sound = reader.sound && row[1].is_number_integer();
+    if (reader.sound) {
+      message.leaving.push_back(
+          {UpstreamId{reader.Text(row[0])}, row[1].get<std::int64_t>()});
+    }
+  }
+  for (const Json& row : reader.Rows(root, "neighbours", 2)) {
+    message.neighbours.push_back(
+        {HostId{reader.Text(row[0])}, reader.Text(row[1])});
+  }
+  if (!reader.sound) {
+    return unreadable;
+  }
+  return message;
+}
+
+}  // namespace limpetlink
--- a/src/routing/detail/load_table.h
+++ b/src/routing/detail/load_table.h
@@ -23,6 +23,14 @@
   Duration lag{0};  ///< how old the figures were when they were told
 };
 
+/// @brief One host's requests at a worker.
+struct OwnLoad {
+  UpstreamId worker;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;  ///< without a first byte of their answer
+  std::uint64_t tokens = 0;
+};
+
 /// @brief What a request will take at a worker.
 struct RequestSize {
   std::uint64_t tokens = 0;  ///< of memory when it has ended; 0 when its
@@ -54,11 +62,27 @@
   /// the same from choosing the same
   explicit LoadTable(std::uint64_t seed) : random(seed) {}
 
+  /// @brief Another host told of its own requests at the workers; replaces what
+  /// it told before.
+  void TakeShares(Instant now, const HostId& host,
+                  const std::vector<OwnLoad>& shares);
+
+  /// @brief Another host fell silent; what it told counts no more.
+  void ForgetHost(const HostId& host);
+
+  /// @return this host's own requests at the workers
+  std::vector<OwnLoad> OwnLoads() const;
+
+  /// @brief The first byte of an answer came.
+  void Started(const UpstreamId& worker);
+
   /// @brief A request was sent to the worker.
   void Begin(Instant now, const UpstreamId& worker, const RequestSize& size);
 
   /// @brief A request that was sent there has ended.
-  void End(Instant now, const UpstreamId& worker, const RequestSize& size);
+  /// @param started the first byte of its answer had come
+  void End(Instant now, const UpstreamId& worker, const RequestSize& size,
+           bool started);
 
   /// @brief The worker reported its load.
   void Report(Instant now, const UpstreamId& worker, const LoadReport& report);
@@ -91,6 +115,7 @@
 
   struct Entry {
     std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
     std::uint64_t tokens = 0;
     std::uint32_t own_at_report = 0;
     std::deque<Begun> begun;  ///< younger than the longest lag
@@ -110,7 +135,11 @@
   double LoadOf(Instant now, const Entry& entry, const LoadCandidate& candidate,
                 const RequestSize& size) const;
 
+  /// @brief What all other hosts told of a worker.
+  OwnLoad OthersAt(const UpstreamId& worker) const;
+
   std::map<UpstreamId, Entry> entries;
+  std::map<HostId, std::map<UpstreamId, OwnLoad>> told;
   Random random;
 };
 
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -21,6 +21,9 @@
 constexpr double kNewestFailure = 0.15;
 // Load that a worker which fails every attempt is counted to have on top.
 constexpr double kFailureLoad = 1.5;
+// A prompt that is still being read slows all that run beside it, and the next
+// prompt waits for it.
+constexpr double kPrefillLoad = 0.15;
 // Memory that a request of another host is counted to hold.
 constexpr double kOtherRequestTokens = 3000.0;
 
@@ -42,6 +45,7 @@
                       const RequestSize& size) {
   Entry& entry = this->entries[worker];
   ++entry.running;
+  ++entry.waiting;
   entry.tokens += size.tokens;
   if (size.tokens > 0) {
     entry.begun.push_back({now, size.tokens});
@@ -52,7 +56,7 @@
 }
 
 void LoadTable::End(Instant /*now*/, const UpstreamId& worker,
-                    const RequestSize& size) {
+                    const RequestSize& size, bool started) {
   const auto found = this->entries.find(worker);
   if (found == this->entries.end()) {
     return;
@@ -60,6 +64,50 @@
   Entry& entry = found->second;
   entry.running -= std::min(entry.running, 1U);
   entry.tokens -= std::min(entry.tokens, size.tokens);
+  if (!started) {
+    entry.waiting -= std::min(entry.waiting, 1U);
+  }
+}
+
+void LoadTable::Started(const UpstreamId& worker) {
+  const auto found = this->entries.find(worker);
+  if (found != this->entries.end()) {
+    found->second.waiting -= std::min(found->second.waiting, 1U);
+  }
+}
+
+void LoadTable::TakeShares(Instant /*now*/, const HostId& host,
+                           const std::vector<OwnLoad>& shares) {
+  std::map<UpstreamId, OwnLoad>& by_worker = this->told[host];
+  by_worker.clear();
+  for (const OwnLoad& share : shares) {
+    by_worker[share.worker] = share;
+  }
+}
+
+void LoadTable::ForgetHost(const HostId& host) { this->told.erase(host); }
+
+std::vector<OwnLoad> LoadTable::OwnLoads() const {
+  std::vector<OwnLoad> loads;
+  for (const auto& [worker, entry] : this->entries) {
+    if (entry.running > 0) {
+      loads.push_back({worker, entry.running, entry.waiting, entry.tokens});
+    }
+  }
+  return loads;
+}
+
+OwnLoad LoadTable::OthersAt(const UpstreamId& worker) const {
+  OwnLoad sum;
+  for (const auto& [host, by_worker] : this->told) {
+    const auto found = by_worker.find(worker);
+    if (found != by_worker.end()) {
+      sum.running += found->second.running;
+      sum.waiting += found->second.waiting;
+      sum.tokens += found->second.tokens;
+    }
+  }
+  return sum;
 }
 
 void LoadTable::Report(Instant now, const UpstreamId& worker,
@@ -132,17 +180,23 @@
 double LoadTable::LoadOf(Instant now, const Entry& entry,
                          const LoadCandidate& candidate,
                          const RequestSize& size) const {
+  const OwnLoad told = this->OthersAt(candidate.worker);
+  std::uint32_t others = told.running;
   const bool fresh = entry.reported && now - entry.reported_at <= kReportLife;
-  std::uint32_t others = 0;
   if (fresh) {
-    const std::uint32_t told = entry.report.running + entry.report.waiting;
-    others = told - std::min(told, entry.own_at_report);
+    const std::uint32_t all = entry.report.running + entry.report.waiting;
+    others = std::max(others, all - std::min(all, entry.own_at_report));
   }
   const double slots = std::max(1U, candidate.slots);
   double load = (entry.running + others + 1.0) / slots;
   if (candidate.memory_tokens > 0) {
-    load = std::max(load, this->MemoryOf(now, entry, size, others) /
-                              static_cast<double>(candidate.memory_tokens));
+    const double known =
+        static_cast<double>(entry.tokens + told.tokens + size.tokens);
+    const double memory =
+        std::max(known, this->MemoryOf(now, entry, size, others));
+    load =
+        std::max(load, memory / static_cast<double>(candidate.memory_tokens));
+    load += kPrefillLoad * (entry.waiting + told.waiting);
   }
   return load + kFailureLoad * entry.failures;
 }
@@ -154,7 +208,7 @@
   };
   const auto far = std::partition(candidates.begin(), candidates.end(), near);
   std::size_t left = static_cast<std::size_t>(far - candidates.begin());
-  if (left <= kComparedAll) {
+  if (left <= kComparedAll || !this->told.empty()) {
     return candidates;
   }
   // The sample is moved to the front, then the rest of the near ones dropped.
