--- a/programs/limpet_entry/gateway_process.cc
+++ b/programs/limpet_entry/gateway_process.cc
@@ -73,9 +73,8 @@
   int Run() {
     const absl::Status status = this->loop.Start();
     if (!status.ok()) {
-      const absl::string_view reason = status.message();
       this->Log(LogLevel::kError, "cannot start",
-                {{"reason", std::string(reason)}});
+                {{"reason", DetailOf(status)}});
       return 1;
     }
     this->Log(LogLevel::kInfo, "listening",
@@ -109,9 +108,8 @@
     const absl::StatusOr<NodeSettings> read =
         platform::ReadNodeSettings(this->path);
     if (!read.ok()) {
-      const absl::string_view reason = read.status().message();
       this->Log(LogLevel::kWarning, "settings not reloaded",
-                {{"reason", std::string(reason)}});
+                {{"reason", DetailOf(read.status())}});
       return;
     }
     if (read->bounds == this->node.bounds) {
--- a/src/event_loop/caller_server.cc
+++ b/src/event_loop/caller_server.cc
@@ -199,8 +199,8 @@
     this->server->by_request[this->request.value] = this->shared_from_this();
     CallerRequest told;
     told.id = this->request;
-    told.method = std::string(message.method_string());
-    told.target = std::string(message.target());
+    told.method = message.method_string().to_string();
+    told.target = message.target().to_string();
     const std::size_t mark =
         std::min(told.target.find('?'), told.target.size());
     told.path = told.target.substr(0, mark);
@@ -243,7 +243,7 @@
     }
     const bool whole = this->reply_ended && !this->reply_aborted;
     this->chunked = !whole && !this->is_http_10;
-    const auto length = static_cast<long long>(this->reply_body.size());
+    const auto length = static_cast<std::int64_t>(this->reply_body.size());
     this->output += RenderAnswerHead(head.status, head.headers, this->chunked,
                                      whole ? length : -1);
     if (this->is_head) {
@@ -337,8 +337,7 @@
 
 CallerServer::CallerServer(asio::io_context* context, bool for_operators,
                            CallerServerHooks hooks)
-    : context(context),
-      for_operators(for_operators),
+    : for_operators(for_operators),
       hooks(std::move(hooks)),
       acceptor(*context) {}
 
--- a/src/event_loop/detail/caller_server.h
+++ b/src/event_loop/detail/caller_server.h
@@ -23,8 +23,6 @@
   std::function<void(Event)> emit;  ///< never called from within Take
   std::function<CallerBounds()> bounds;
   std::function<RequestId()> next_id;
-  /// Runs before a reply's bytes are written, once for all handlers that are
-  /// due; replies that are whole then get a length.
 };
 
 /// @brief Serves HTTP/1.1 at one address.
@@ -61,7 +59,6 @@
 
   void Accept();
 
-  asio::io_context* context;
   bool for_operators;
   CallerServerHooks hooks;
   Tcp::acceptor acceptor;
--- a/src/event_loop/detail/framing.h
+++ b/src/event_loop/detail/framing.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
 #include <string>
 
 #include "ports/ports.h"
@@ -26,7 +27,7 @@
 /// @param chunked adds Transfer-Encoding
 /// @param length adds Content-Length when not negative
 std::string RenderAnswerHead(int status, const Headers& headers, bool chunked,
-                             long long length);
+                             std::int64_t length);
 
 /// @brief Writes a whole request.
 std::string RenderRequest(const HttpCall& call, std::string_view target,
--- a/src/event_loop/framing.cc
+++ b/src/event_loop/framing.cc
@@ -41,13 +41,13 @@
   Headers headers;
   for (const auto& field : fields) {
     headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
+        {field.name_string().to_string(), field.value().to_string()});
   }
   return headers;
 }
 
 std::string RenderAnswerHead(int status, const Headers& headers, bool chunked,
-                             long long length) {
+                             std::int64_t length) {
   http::header<false> head;
   head.version(11);
   head.result(static_cast<unsigned>(status));
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -60,8 +60,8 @@
   std::size_t begin = 0;
   std::size_t end = EndOfEvent(this->held, this->scanned);
   while (end != std::string::npos) {
-    const std::string_view event =
-        std::string_view(this->held).substr(begin, end - begin);
+    const std::string_view text = this->held;
+    const std::string_view event = text.substr(begin, end - begin);
     if (!this->TakeId(event)) {
       split.in_order = false;
       break;
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -40,6 +40,8 @@
 // Retry-After: long enough to outlast a worker's replacement in part, spread
 // so that refused callers do not come back together, and at most a third of
 // what the caller has left.
+// Where only this host cannot serve, the next one can at once.
+constexpr Duration kElsewhere = std::chrono::milliseconds(20);
 constexpr double kComeBackSeconds = 0.25;
 constexpr double kComeBackSpread = 0.5;
 constexpr double kComeBackShare = 0.3;
@@ -121,10 +123,9 @@
 std::optional<Problem> Forwarding::Admit(Instant now, Forwarded* flow) {
   const CallerRequest& request = flow->request;
   const DeploymentInForce force = this->hooks.deployment(now);
-  const Duration soon = std::chrono::milliseconds(500);
   if (force.table == nullptr) {
     return Problem{ErrorCode::kFleetNotReady, Outcome::kNotRun,
-                   "no configuration is known yet", soon};
+                   "no configuration is known yet", kElsewhere};
   }
   absl::StatusOr<CallerTerms> terms = this->codec.caller_terms(request.headers);
   if (!terms.ok()) {
@@ -138,7 +139,7 @@
   const bool current = force.age <= this->settings.bounds.apply;
   if (flow->route == nullptr && !current) {
     return Problem{ErrorCode::kFleetNotReady, Outcome::kNotRun,
-                   "the configuration may be outdated", soon};
+                   "the configuration may be outdated", kElsewhere};
   }
   if (flow->route == nullptr) {
     return Problem{ErrorCode::kRequestUnknownRoute, Outcome::kNotRun,
@@ -166,7 +167,7 @@
       FromSeconds(ToSeconds(kTimePerToken) * output_tokens * kLengthMargin);
   if (flow->Streaming() && expected >= this->hooks.time_to_end(now)) {
     return Problem{ErrorCode::kHostShuttingDown, Outcome::kNotRun,
-                   "the stream would outlast this host", Duration{0}};
+                   "the stream would outlast this host", kElsewhere};
   }
   return std::nullopt;
 }
@@ -181,8 +182,7 @@
   const bool too_old = bounds.strict_revocation &&
                        force.age + kRevocationMargin >= bounds.revocation;
   const Problem outdated{ErrorCode::kFleetNotReady, Outcome::kNotRun,
-                         "the keys known here may be outdated",
-                         std::chrono::milliseconds(500)};
+                         "the keys known here may be outdated", kElsewhere};
   if (too_old) {
     return outdated;
   }
--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -101,10 +101,9 @@
   }
   const absl::StatusOr<EngineReport> report = this->codec.report(call.body);
   if (!report.ok()) {
-    const absl::string_view reason = report.status().message();
-    this->Log(
-        LogLevel::kWarning, "load report unreadable",
-        {{"worker", call.worker.id.value}, {"reason", std::string(reason)}});
+    this->Log(LogLevel::kWarning, "load report unreadable",
+              {{"worker", call.worker.id.value},
+               {"reason", DetailOf(report.status())}});
     return;
   }
   if (report->draining) {
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -308,9 +308,12 @@
       !this->workers.Known()) {
     return false;
   }
+  // Before keyed requests must be refused here, so that callers' next
+  // connections go to hosts that reach the store. If none does, the balancer
+  // takes them all.
   const GatewayBounds& bounds = this->settings.bounds;
   const bool keys_matter = bounds.strict_revocation && this->table->NeedsKeys();
-  return !keys_matter || this->deployments.Age(now) < bounds.revocation;
+  return !keys_matter || this->deployments.Age(now) <= bounds.apply;
 }
 
 CallerBounds GatewayHost::Bounds() const {
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -30,7 +30,7 @@
   void Register(const std::string& name, const std::string& service,
                 bool draining = false);
   void Unregister(const std::string& name);
-  void Adopt(Deployment deployment);
+  void Adopt(Deployment next);
 
   /// @brief Sends a request; path "/lookup/", "/order/" or "/stream/".
   RequestId Ask(const std::string& path, const std::string& key = "key-1");
--- a/src/migration/tests/plan_test.cc
+++ b/src/migration/tests/plan_test.cc
@@ -28,6 +28,7 @@
     "notice of 1.9 s",
     "[migration]") {
   std::vector<RunningStream> runs;
+  runs.reserve(8);
   for (int i = 0; i < 8; ++i) {
     runs.push_back(
         {"r" + std::to_string(i), 3000 + 250 * static_cast<std::uint64_t>(i)});
