--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -381,8 +381,11 @@
       this->RetryMove(now, flow, kBusyPause);
       return;
     default:
+      // A second refusal at once tells of the source rather than of the
+      // destinations: it takes no order while others wait there.
       move.refused.push_back(move.destination);
-      this->RetryMove(now, flow, Duration{0});
+      this->RetryMove(now, flow,
+                      move.refused.size() > 1 ? kBusyPause : Duration{0});
       return;
   }
 }
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -51,6 +51,7 @@
            kWorkersPause},
           {[this](Instant now, std::vector<ObjectRecord> records) {
              std::vector<UpstreamId> listed;
+             listed.reserve(records.size());
              for (const ObjectRecord& record : records) {
                listed.push_back(UpstreamId{record.name});
                this->TakeWorker(now, record);
@@ -85,8 +86,10 @@
 NeighbourHooks GatewayHost::MakeNeighbourHooks() {
   NeighbourHooks hooks;
   hooks.shares = [this] {
+    const std::vector<OwnLoad> loads = this->forwarding.Loads().OwnLoads();
     std::vector<WorkerShare> shares;
-    for (const OwnLoad& load : this->forwarding.Loads().OwnLoads()) {
+    shares.reserve(loads.size());
+    for (const OwnLoad& load : loads) {
       shares.push_back({load.worker, load.running, load.waiting, load.tokens});
     }
     return shares;
@@ -94,6 +97,7 @@
   hooks.take_shares = [this](Instant now, const HostId& host,
                              const std::vector<WorkerShare>& shares) {
     std::vector<OwnLoad> loads;
+    loads.reserve(shares.size());
     for (const WorkerShare& share : shares) {
       loads.push_back(
           {share.worker, share.running, share.waiting, share.tokens});
--- a/src/gateway/tests/streams_test.cc
+++ b/src/gateway/tests/streams_test.cc
@@ -170,6 +170,31 @@
   CHECK(again.body != copy.body);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+                 "stream move, every destination refuses at once, does not "
+                 "flood the worker with orders",
+                 "[gateway]") {
+  for (const char* name : {"engine-3", "engine-4", "engine-5", "engine-6"}) {
+    this->Register(name, "engines");
+  }
+  HttpCall copy = this->LeaveAndCopy();
+  int orders = 0;
+  for (int i = 0; i < 100; ++i) {
+    this->Answer(copy, 503, "");
+    ++orders;
+    for (int waited = 0; waited < 100; ++waited) {
+      this->Pass(milliseconds(1));
+      i += 1;
+      std::vector<HttpCall> calls = this->TakeCalls();
+      if (!calls.empty()) {
+        copy = calls.front();
+        break;
+      }
+    }
+  }
+  CHECK(orders <= 6);
+}
+
 TEST_CASE_METHOD(StreamFixture,
                  "stream move, run has not begun, is asked again shortly",
                  "[gateway]") {
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -34,16 +34,16 @@
 
   /// @brief Gives the rows of a list whose rows have so many columns.
   const Json& Rows(const Json& root, const char* member, std::size_t columns) {
-    static const Json kNone = Json::array();
+    static const Json none = Json::array();
     const auto found = root.find(member);
     if (found == root.end() || !found->is_array() || found->size() > kMaxRows) {
       this->sound = false;
-      return kNone;
+      return none;
     }
     for (const Json& row : *found) {
       if (!row.is_array() || row.size() != columns) {
         this->sound = false;
-        return kNone;
+        return none;
       }
     }
     return *found;
