--- a/src/base/detail/time.h
+++ b/src/base/detail/time.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace limpetlink {
 
@@ -31,6 +32,12 @@
   return std::chrono::duration<double>(value).count();
 }
 
+/// @brief Writes a duration as whole milliseconds, for log lines.
+inline std::string MillisecondsText(Duration value) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 /// @brief Converts seconds to a duration.
 /// @param value seconds, with a fraction
 /// @return the duration, rounded towards zero to a microsecond
--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -22,11 +22,6 @@
 // From the notice to the first slot: the report's round trip.
 constexpr Duration kReportTime = std::chrono::milliseconds(8);
 
-std::string Millis(Duration value) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
 }  // namespace
 
 void Forwarding::OnLeaving(Instant now, const WorkerRegistration& worker) {
@@ -96,7 +91,7 @@
     this->Log(LogLevel::kInfo, "load unknown",
               {{"worker", call.worker.id.value},
                {"status", std::to_string(call.status)},
-               {"after_ms", Millis(now - call.noticed)}});
+               {"after_ms", MillisecondsText(now - call.noticed)}});
     return;
   }
   const absl::StatusOr<EngineReport> report = this->codec.report(call.body);
@@ -228,8 +223,9 @@
        {"reported_streams", std::to_string(report.runs.size())},
        {"report_status", std::to_string(call.status)},
        {"destinations", std::to_string(destinations.size())},
-       {"leaves_ms", report.leaves_in ? Millis(*report.leaves_in) : "unknown"},
-       {"age_ms", Millis(now - call.noticed)}});
+       {"leaves_ms",
+        report.leaves_in ? MillisecondsText(*report.leaves_in) : "unknown"},
+       {"age_ms", MillisecondsText(now - call.noticed)}});
   // The later slot counts where a stream has two.
   for (auto slot = slots.rbegin(); slot != slots.rend(); ++slot) {
     const auto flow =
@@ -352,8 +348,8 @@
              {"last_part", finishing ? "true" : "false"},
              {"end", std::string(ToText(answer.end))},
              {"status", std::to_string(move.status)},
-             {"took_ms", Millis(now - move.stopped)},
-             {"since_notice_ms", Millis(now - move.noticed)}});
+             {"took_ms", MillisecondsText(now - move.stopped)},
+             {"since_notice_ms", MillisecondsText(now - move.noticed)}});
   if (answer.end == MoveEnd::kCopied) {
     this->TakeCopied(now, flow, answer.handle);
     return;
@@ -451,9 +447,9 @@
              {"source", move.source.value},
              {"worker", target.value},
              {"last_event", std::to_string(*last)},
-             {"stopped_ms", Millis(now - move.stopped)},
-             {"silent_ms", Millis(now - flow->last_event)},
-             {"since_notice_ms", Millis(now - move.noticed)}});
+             {"stopped_ms", MillisecondsText(now - move.stopped)},
+             {"silent_ms", MillisecondsText(now - flow->last_event)},
+             {"since_notice_ms", MillisecondsText(now - move.noticed)}});
   this->metrics->Add(Counter::kStreamsResumed);
   this->actions.emplace_back(
       this->CallFor(now, *flow, attempt, worker->address,
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -19,11 +19,6 @@
 // Between the last cut request and the platform's SIGKILL.
 constexpr Duration kEndMargin = std::chrono::milliseconds(300);
 
-std::string Millis(Duration value) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
 }  // namespace
 
 GatewayHost::GatewayHost(GatewaySettings settings, GatewayCodec codec)
@@ -173,7 +168,7 @@
     this->drain_began = now;
     this->Log(LogLevel::kInfo, "shutdown began",
               {{"requests", std::to_string(this->forwarding.Open())},
-               {"grace_ms", Millis(this->settings.bounds.grace)}});
+               {"grace_ms", MillisecondsText(this->settings.bounds.grace)}});
   }
   return this->Collect(now);
 }
@@ -203,7 +198,7 @@
             {{"mode", std::string(ToText(mode))},
              {"failures_in_a_row",
               std::to_string(this->store.Health().failures_in_a_row)},
-             {"latency_ms", Millis(this->store.Health().latency)}});
+             {"latency_ms", MillisecondsText(this->store.Health().latency)}});
 }
 
 void GatewayHost::TakeDeployment(Instant now, const ObjectRecord& record) {
@@ -224,14 +219,14 @@
     return;  // never backwards
   }
   this->metrics.Add(Counter::kDocumentsAdopted);
-  this->Log(
-      LogLevel::kInfo, "configuration adopted",
-      {{"version", std::to_string(read->version)},
-       {"before", std::to_string(before)},
-       {"revision", std::to_string(record.version)},
-       {"routes", std::to_string(read->routes.size())},
-       {"age_ms", Millis(this->deployments.Known() ? this->deployments.Age(now)
-                                                   : Duration{0})}});
+  this->Log(LogLevel::kInfo, "configuration adopted",
+            {{"version", std::to_string(read->version)},
+             {"before", std::to_string(before)},
+             {"revision", std::to_string(record.version)},
+             {"routes", std::to_string(read->routes.size())},
+             {"age_ms", MillisecondsText(this->deployments.Known()
+                                             ? this->deployments.Age(now)
+                                             : Duration{0})}});
   this->table = std::make_shared<const RouteTable>(*std::move(read));
 }
 
@@ -299,10 +294,11 @@
   }
   WorkerRegistration worker = *known;
   worker.draining = true;
-  this->Log(LogLevel::kInfo, "worker leaves",
-            {{"worker", id.value},
-             {"told_by", source},
-             {"registrations_age_ms", Millis(this->workers.Age(now))}});
+  this->Log(
+      LogLevel::kInfo, "worker leaves",
+      {{"worker", id.value},
+       {"told_by", source},
+       {"registrations_age_ms", MillisecondsText(this->workers.Age(now))}});
   this->directory.Put(worker);
   this->forwarding.OnLeaving(now, worker);
 }
@@ -382,9 +378,10 @@
   if (ready != this->told_ready) {
     this->told_ready = ready;
     this->Log(LogLevel::kInfo, ready ? "ready" : "not ready",
-              {{"configuration_age_ms", this->deployments.Known()
-                                            ? Millis(this->deployments.Age(now))
-                                            : "none"},
+              {{"configuration_age_ms",
+                this->deployments.Known()
+                    ? MillisecondsText(this->deployments.Age(now))
+                    : "none"},
                {"workers", std::to_string(this->directory.Size())}});
   }
   Actions collected = std::exchange(this->actions, {});
