--- a/src/admission/detail/lengths.h
+++ b/src/admission/detail/lengths.h
@@ -57,6 +57,30 @@
   double total = 0;
 };
 
+/// @brief Estimates output lengths from callers' guesses alone. Guesses are
+/// right at the median and often far off, so each is drawn towards the
+/// median of the guesses for its route. No output has to end first: a host
+/// with few requests learns from a handful of arrivals.
+class GuessedLengths {
+ public:
+  /// @brief Counts a guess and estimates its output's length.
+  /// @param route requests with like outputs
+  /// @param guess of the caller, tokens
+  /// @param bound the longest output possible, tokens
+  /// @return expected tokens, at least 1
+  /// @note Complexity: logarithmic in the number of routes.
+  double Expect(const std::string& route, std::uint64_t guess,
+                std::uint64_t bound);
+
+ private:
+  struct Guesses {
+    double count = 0;
+    double mean_log = 0;  ///< of the latest guesses
+  };
+
+  std::map<std::string, Guesses> by_route;
+};
+
 /// @brief What an output's length may depend on.
 struct LengthKey {
   std::string model;
--- a/src/admission/lengths.cc
+++ b/src/admission/lengths.cc
@@ -11,6 +11,12 @@
 constexpr double kPriorTokens = 128.0;       // the prior falls beyond this
 constexpr double kEnoughOutputs = 32.0;
 constexpr std::size_t kMaxKeys = 8192;
+// Part of a guess's distance from the usual one that is believed: guesses
+// scatter about one and a half times as widely as lengths do.
+constexpr double kGuessTrust = 0.33;
+// Mean over median of lengths that scatter by a factor of two.
+constexpr double kMeanOverMedian = 1.25;
+constexpr double kMostGuesses = 200.0;  // older ones lose weight
 
 }  // namespace
 
@@ -72,6 +78,25 @@
   return std::max(mean, 1.0);
 }
 
+double GuessedLengths::Expect(const std::string& route, std::uint64_t guess,
+                              std::uint64_t bound) {
+  const double log_guess =
+      std::log(static_cast<double>(std::max<std::uint64_t>(guess, 1)));
+  const auto most =
+      static_cast<double>(std::max<std::uint64_t>({bound, guess, 1}));
+  const bool room = this->by_route.size() < kMaxKeys;
+  const auto found = this->by_route.find(route);
+  if (found == this->by_route.end() && !room) {
+    return std::exp(log_guess);
+  }
+  Guesses& guesses = this->by_route[route];
+  guesses.count = std::min(guesses.count + 1.0, kMostGuesses);
+  guesses.mean_log += (log_guess - guesses.mean_log) / guesses.count;
+  const double drawn =
+      guesses.mean_log + kGuessTrust * (log_guess - guesses.mean_log);
+  return std::clamp(kMeanOverMedian * std::exp(drawn), 1.0, most);
+}
+
 void LengthModel::Observe(const LengthKey& key, std::uint32_t tokens) {
   const LengthKey keys[] = {
       key, {key.model, key.route, {}}, {key.model, {}, {}}};
--- /dev/null
+++ b/src/admission/tests/lengths_test.cc
@@ -0,0 +1,59 @@
+#include <catch2/catch.hpp>
+#include <cmath>
+
+#include "admission/admission.h"
+
+namespace limpetlink {
+namespace {
+
+constexpr std::uint64_t kBound = 8192;
+
+/// @brief Draws a normal deviate; twelve uniform ones are near enough.
+double Deviate(Random* random) {
+  double sum = -6.0;
+  for (int i = 0; i < 12; ++i) {
+    sum += random->Fraction();
+  }
+  return sum;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "guessed lengths, guesses are right at the median and scatter, the sum of "
+    "the estimates is near the sum of the lengths",
+    "[admission]") {
+  constexpr double kMedian = 600.0;
+  Random random(7);
+  GuessedLengths lengths;
+  double expected = 0;
+  double guessed = 0;
+  double actual = 0;
+  for (int i = 0; i < 400; ++i) {
+    const double length = kMedian * std::exp(0.8 * Deviate(&random));
+    const double guess = length * std::exp(1.2 * Deviate(&random));
+    expected += lengths.Expect(
+        "draft", static_cast<std::uint64_t>(std::lround(guess)), kBound);
+    guessed += guess;
+    actual += length;
+  }
+  CHECK(guessed > 1.6 * actual);
+  CHECK(expected > 0.85 * actual);
+  CHECK(expected < 1.2 * actual);
+}
+
+TEST_CASE("guessed lengths, one wild guess, counts little", "[admission]") {
+  GuessedLengths lengths;
+  for (int i = 0; i < 8; ++i) {
+    lengths.Expect("draft", 600, kBound);
+  }
+  CHECK(lengths.Expect("draft", 8000, kBound) < 2500.0);
+  CHECK(lengths.Expect("draft", 600, kBound) < 1100.0);
+}
+
+TEST_CASE("guessed lengths, guess of nothing, still a token", "[admission]") {
+  GuessedLengths lengths;
+  CHECK(lengths.Expect("check", 0, 0) == 1.0);
+}
+
+}  // namespace limpetlink
--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -74,7 +74,10 @@
   bool delivering = false;
   EventSplitter events;
   std::size_t buffered = 0;  ///< bytes of the answer that the caller lacks
+  std::optional<Instant> first_event;  ///< passed on to the caller
   Instant last_event{};
+  Duration longest_pause{0};  ///< between events, moves included
+  std::uint32_t moves = 0;    ///< workers it went on at
   std::optional<StreamMove> move;
 
   bool Idempotent() const {
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/admission.h"
 #include "entry/entry.h"
 #include "gateway/detail/codec.h"
 #include "gateway/detail/forwarded.h"
@@ -58,7 +59,9 @@
 
   /// @brief A worker takes no new work and will be gone soon: its streams
   /// move.
-  void OnLeaving(Instant now, const WorkerRegistration& worker);
+  /// @param noticed when the first host knew; plans are timed from it
+  void OnLeaving(Instant now, const WorkerRegistration& worker,
+                 Instant noticed);
 
   /// @brief A worker has left or started anew.
   void Forget(const UpstreamId& worker) { this->loads.Forget(worker); }
@@ -131,7 +134,8 @@
   Distance DistanceTo(const FailureDomainId& domain) const;
 
   // Moves; in forwarding_moves.cc.
-  void AskReport(Instant now, const WorkerRegistration& worker, bool leaving);
+  void AskReport(const WorkerRegistration& worker, bool leaving,
+                 Instant noticed);
   /// @return engines near by
   std::size_t AskLoads(Instant now);
   void TakeLoad(Instant now, const ReportCall& call);
@@ -165,6 +169,7 @@
   HostMetrics* metrics;
   LoadTable loads;
   HedgeDelays hedge_delays;
+  GuessedLengths guessed_lengths;
   Random random;
   std::map<std::string, WindowBudget> budgets;
   std::map<std::uint64_t, Forwarded> flows;
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -53,7 +53,8 @@
   Actions Collect(Instant now);
   void TakeDeployment(Instant now, const ObjectRecord& record);
   void TakeWorker(Instant now, const ObjectRecord& record);
-  void TakeLeaving(Instant now, const UpstreamId& id, const char* source);
+  void TakeLeaving(Instant now, const UpstreamId& id, const char* source,
+                   Duration age);
   void AnswerOperator(Instant now, const CallerRequest& request);
   std::string RenderRequests(Instant now) const;
   void LogStoreMode();
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -1,6 +1,7 @@
 #include "gateway/detail/forwarding.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "absl/strings/str_cat.h"
 
@@ -121,9 +122,15 @@
   flow->on_engine = service != nullptr && service->engine.has_value();
   const CallerTerms& told = flow->terms;
   if (flow->on_engine) {
-    const std::uint64_t output = told.expected_output_tokens.value_or(
-        told.max_output_tokens.value_or(0));
-    flow->size.tokens = told.prompt_tokens.value_or(0) + output;
+    const std::uint64_t most = told.max_output_tokens.value_or(0);
+    const double output =
+        told.expected_output_tokens.has_value()
+            ? this->guessed_lengths.Expect(flow->route->name,
+                                           *told.expected_output_tokens, most)
+            : static_cast<double>(most);
+    flow->size.prompt_tokens = told.prompt_tokens.value_or(0);
+    flow->size.tokens = flow->size.prompt_tokens +
+                        static_cast<std::uint64_t>(std::lround(output));
   }
   const Duration patience = std::min(
       told.patience.value_or(flow->route->timeout), flow->route->timeout);
@@ -188,6 +195,7 @@
        this->directory->OpenWorkers(flow.service)) {
     LoadCandidate candidate;
     candidate.worker = worker->id;
+    candidate.domain = worker->domain;
     candidate.slots = worker->slots;
     candidate.distance = this->DistanceTo(worker->domain);
     if (service != nullptr && service->engine.has_value()) {
@@ -262,8 +270,12 @@
        {"service", flow->service},
        {"worker", choice->worker.value},
        {"send", std::to_string(flow->sends)},
-       {"load", absl::StrCat(choice->load)},
+       {"expected_delay_ms", absl::StrCat(std::lround(choice->delay_ms))},
+       {"prompt_tokens", std::to_string(flow->size.prompt_tokens)},
+       {"memory_tokens", std::to_string(flow->size.tokens)},
        {"own_running", std::to_string(choice->own_running)},
+       {"others_running", std::to_string(choice->others.running)},
+       {"others_tokens_to_read", std::to_string(choice->others.waiting_tokens)},
        {"report_age_ms",
         choice->report_age ? MillisecondsText(*choice->report_age) : "none"},
        {"configuration", std::to_string(flow->table->Contents().version)},
--- a/src/gateway/forwarding_answers.cc
+++ b/src/gateway/forwarding_answers.cc
@@ -46,7 +46,7 @@
   }
   attempt->status = head.status;
   attempt->headers = head.headers;
-  this->loads.Started(attempt->worker);
+  this->loads.Started(attempt->worker, flow->size);
   this->hooks.loads_changed(now);
   attempt->said = this->codec.worker_answer(head.headers);
   if (attempt->said.load.has_value()) {
@@ -93,13 +93,16 @@
   if (!split.whole.empty()) {
     if (!flow->delivering) {
       flow->delivering = true;
+      flow->first_event = now;
       this->metrics->Record(Timing::kFirstToken, now - flow->arrived);
       Headers headers =
           this->ReplyHeaders(now, this->codec.caller_headers(attempt->headers));
       this->actions.emplace_back(
           ReplyHead{id, attempt->status, std::move(headers)});
     } else {
-      this->metrics->Record(Timing::kBetweenTokens, now - flow->last_event);
+      const Duration pause = now - flow->last_event;
+      flow->longest_pause = std::max(flow->longest_pause, pause);
+      this->metrics->Record(Timing::kBetweenTokens, pause);
     }
     flow->last_event = now;
     this->metrics->Add(Counter::kTokensDelivered, split.count);
@@ -337,14 +340,20 @@
                         Outcome outcome, std::string cause) {
   const Forwarded& flow = this->flows.at(id);
   this->metrics->Record(Timing::kRequest, now - flow.arrived);
-  this->Log(LogLevel::kInfo, "request finished",
-            {{"request", flow.terms.request_id},
-             {"route", flow.route == nullptr ? "" : flow.route->name},
-             {"status", std::to_string(status)},
-             {"outcome", Text(ToText(outcome))},
-             {"sends", std::to_string(flow.sends)},
-             {"took_ms", MillisecondsText(now - flow.arrived)},
-             {"cause", std::move(cause)}});
+  this->Log(
+      LogLevel::kInfo, "request finished",
+      {{"request", flow.terms.request_id},
+       {"route", flow.route == nullptr ? "" : flow.route->name},
+       {"status", std::to_string(status)},
+       {"outcome", Text(ToText(outcome))},
+       {"sends", std::to_string(flow.sends)},
+       {"moves", std::to_string(flow.moves)},
+       {"first_event_ms",
+        flow.first_event ? MillisecondsText(*flow.first_event - flow.arrived)
+                         : "none"},
+       {"longest_pause_ms", MillisecondsText(flow.longest_pause)},
+       {"took_ms", MillisecondsText(now - flow.arrived)},
+       {"cause", std::move(cause)}});
   this->timers.erase({flow.deadline, id, TimerKind::kDeadline});
   this->AbandonMove(now, &this->flows.at(id));
   this->flows.erase(id);
--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -24,7 +24,8 @@
 
 }  // namespace
 
-void Forwarding::OnLeaving(Instant now, const WorkerRegistration& worker) {
+void Forwarding::OnLeaving(Instant /*now*/, const WorkerRegistration& worker,
+                           Instant noticed) {
   const auto runs_there = [&worker](const auto& entry) {
     const Forwarded& flow = entry.second;
     return flow.Streaming() && !flow.running.empty() &&
@@ -41,16 +42,16 @@
       !service->engine->can_move) {
     return;
   }
-  this->AskReport(now, worker, true);
+  this->AskReport(worker, true, noticed);
 }
 
-void Forwarding::AskReport(Instant now, const WorkerRegistration& worker,
-                           bool leaving) {
+void Forwarding::AskReport(const WorkerRegistration& worker, bool leaving,
+                           Instant noticed) {
   HttpCall call = this->codec.report_call();
   call.id = this->hooks.next_call_id();
   call.url = "http://" + worker.address + call.url;
   call.connect_timeout = kOrderConnect;
-  this->reports[call.id.value] = {worker, leaving, now, 0, {}};
+  this->reports[call.id.value] = {worker, leaving, noticed, 0, {}};
   this->actions.emplace_back(std::move(call));
 }
 
@@ -78,7 +79,7 @@
       }
       ++near;
       if (!asked(worker->id)) {
-        this->AskReport(now, *worker, false);
+        this->AskReport(*worker, false, now);
       }
     }
   }
@@ -179,8 +180,6 @@
       report = *std::move(read);
     }
   }
-  const bool near =
-      this->DistanceTo(call.worker.domain) == Distance::kSameDomain;
   const auto listed = [&report](const std::string& id) {
     return std::any_of(
         report.runs.begin(), report.runs.end(),
@@ -196,7 +195,7 @@
       continue;
     }
     own.push_back(&flow);
-    if (!near || !listed(flow.terms.request_id)) {
+    if (!listed(flow.terms.request_id)) {
       late.push_back({flow.terms.request_id, flow.size.tokens, 0});
     }
   }
@@ -439,6 +438,7 @@
   attempt.worker = target;
   attempt.sent = now;
   this->BudgetOf(flow->service).Spend(now);  // an arrival beyond the first
+  flow->size.prompt_tokens = 0;              // read already
   this->loads.Begin(now, target, flow->size);
   this->hooks.loads_changed(now);
   this->flow_of_call[attempt.call.value] = flow->request.id.value;
@@ -450,6 +450,7 @@
              {"stopped_ms", MillisecondsText(now - move.stopped)},
              {"silent_ms", MillisecondsText(now - flow->last_event)},
              {"since_notice_ms", MillisecondsText(now - move.noticed)}});
+  ++flow->moves;
   this->metrics->Add(Counter::kStreamsResumed);
   this->actions.emplace_back(
       this->CallFor(now, *flow, attempt, worker->address,
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -70,7 +70,7 @@
                         : Duration::max();
            },
            [this](Instant now, const UpstreamId& id) {
-             this->TakeLeaving(now, id, "the worker");
+             this->TakeLeaving(now, id, "the worker", Duration{0});
            },
            [this](Instant now) { this->neighbours.NoteChange(now); }},
           &this->directory, &this->metrics),
@@ -80,33 +80,33 @@
 
 NeighbourHooks GatewayHost::MakeNeighbourHooks() {
   NeighbourHooks hooks;
-  hooks.shares = [this] {
-    const std::vector<OwnLoad> loads = this->forwarding.Loads().OwnLoads();
-    std::vector<WorkerShare> shares;
-    shares.reserve(loads.size());
-    for (const OwnLoad& load : loads) {
-      shares.push_back({load.worker, load.running, load.waiting, load.tokens});
-    }
-    return shares;
-  };
+  hooks.shares = [this] { return this->forwarding.Loads().OwnLoads(); };
   hooks.take_shares = [this](Instant now, const HostId& host,
-                             const std::vector<WorkerShare>& shares) {
-    std::vector<OwnLoad> loads;
-    loads.reserve(shares.size());
-    for (const WorkerShare& share : shares) {
-      loads.push_back(
-          {share.worker, share.running, share.waiting, share.tokens});
-    }
-    this->forwarding.Loads().TakeShares(now, host, loads);
+                             const std::vector<OwnLoad>& shares) {
+    this->forwarding.Loads().TakeShares(now, host, shares);
+  };
+  hooks.found = [this](const HostId& host) {
+    this->Log(LogLevel::kInfo, "neighbour found", {{"neighbour", host.value}});
   };
   hooks.forget = [this](const HostId& host) {
     this->Log(LogLevel::kInfo, "neighbour lost", {{"neighbour", host.value}});
     this->forwarding.Loads().ForgetHost(host);
   };
+  hooks.domain_loads = [this] {
+    return this->forwarding.Loads().DomainLoads();
+  };
+  hooks.take_domain_loads = [this](Instant now, const DomainLoads& told) {
+    this->forwarding.Loads().TakeDomainLoads(now, told.domain, told.loads);
+  };
+  hooks.forget_domain = [this](const FailureDomainId& domain) {
+    this->Log(LogLevel::kInfo, "failure domain silent",
+              {{"domain", domain.value}});
+    this->forwarding.Loads().ForgetDomain(domain);
+  };
   hooks.take_leaving = [this](Instant now, const LeavingWorker& worker) {
     const WorkerRegistration* known = this->directory.Find(worker.worker);
     if (known != nullptr && known->started_at == worker.started_at) {
-      this->TakeLeaving(now, worker.worker, "a neighbour");
+      this->TakeLeaving(now, worker.worker, "a neighbour", worker.age);
     }
   };
   return hooks;
@@ -235,8 +235,9 @@
   const WorkerRegistration* known = this->directory.Find(id);
   if (record.deleted) {
     if (known != nullptr && !known->draining) {
-      this->neighbours.NoteLeaving(now, {id, known->started_at});
-      this->forwarding.OnLeaving(now, *known);  // it serves for a while yet
+      this->neighbours.NoteLeaving(now, {id, known->started_at, {}});
+      // It serves for a while yet.
+      this->forwarding.OnLeaving(now, *known, now);
     }
     this->Log(
         LogLevel::kInfo, "worker removed",
@@ -281,13 +282,13 @@
   const WorkerRegistration worker = *read;
   this->directory.Put(*std::move(read));
   if (leaves) {
-    this->neighbours.NoteLeaving(now, {worker.id, worker.started_at});
-    this->forwarding.OnLeaving(now, worker);
+    this->neighbours.NoteLeaving(now, {worker.id, worker.started_at, {}});
+    this->forwarding.OnLeaving(now, worker, now);
   }
 }
 
 void GatewayHost::TakeLeaving(Instant now, const UpstreamId& id,
-                              const char* source) {
+                              const char* source, Duration age) {
   const WorkerRegistration* known = this->directory.Find(id);
   if (known == nullptr || known->draining) {
     return;
@@ -298,9 +299,10 @@
       LogLevel::kInfo, "worker leaves",
       {{"worker", id.value},
        {"told_by", source},
+       {"noticed_ms_ago", MillisecondsText(age)},
        {"registrations_age_ms", MillisecondsText(this->workers.Age(now))}});
   this->directory.Put(worker);
-  this->forwarding.OnLeaving(now, worker);
+  this->forwarding.OnLeaving(now, worker, now - age);
 }
 
 bool GatewayHost::Ready(Instant now) const {
@@ -397,7 +399,7 @@
   Instant next =
       std::min({this->store.NextWakeup(), this->deployments.NextWakeup(),
                 this->workers.NextWakeup(), this->directory.NextWakeup(),
-                this->forwarding.NextWakeup()});
+                this->forwarding.NextWakeup(), this->neighbours.NextWakeup()});
   if (this->drain_began.has_value()) {
     const Instant end =
         *this->drain_began + this->settings.bounds.grace - kEndMargin;
--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -128,6 +128,8 @@
   settings.store.dialect = Dialect();
   settings.store.budget = {1000, 1000, 1000, 1000};
   settings.bounds.retry_ratio = 1.0;
+  settings.neighbour_address = "10.0.0.1:7";
+  settings.seeds = {"10.0.0.2:7"};
   return settings;
 }
 
@@ -196,6 +198,10 @@
   this->Feed(HttpDone{call.id, HttpEnd::kComplete});
 }
 
+void GatewayFixture::Hear(const NeighbourMessage& message) {
+  this->Feed(PeerFrame{message.host, EncodeNeighbourMessage(message)});
+}
+
 void GatewayFixture::Carry(Actions actions) {
   for (Action& action : actions) {
     if (auto* call = std::get_if<HttpCall>(&action)) {
@@ -221,6 +227,8 @@
       CHECK_FALSE(reply.ended);  // one end only
       reply.ended = true;
       reply.aborted = end->abort;
+    } else if (auto* datagram = std::get_if<PeerSend>(&action)) {
+      this->datagrams.push_back(std::move(*datagram));
     } else if (std::holds_alternative<LogLine>(action)) {
       ++this->log_lines;
     }
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -61,6 +61,10 @@
   bool store_away = false;
   GatewayHost host;
   int log_lines = 0;
+  std::vector<PeerSend> datagrams;  ///< sent to other hosts
+
+  /// @brief Another host says something.
+  void Hear(const NeighbourMessage& message);
 
  private:
   void Carry(Actions actions);
--- /dev/null
+++ b/src/gateway/tests/neighbours_test.cc
@@ -0,0 +1,67 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "gateway/tests/gateway_fixture.h"
+
+namespace limpetlink::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+NeighbourMessage From(const std::string& host, const std::string& domain) {
+  static std::uint64_t sequence = 0;
+  NeighbourMessage message;
+  message.host = HostId{host};
+  message.domain = FailureDomainId{domain};
+  message.address = host + ":7";
+  message.sequence = ++sequence;
+  return message;
+}
+
+/// @brief A host with a neighbour, and workers of an engine in its domain.
+class NeighbourFixture : public GatewayFixture {
+ public:
+  NeighbourFixture() {
+    this->Register("one", "engines");
+    this->Register("two", "engines");
+    this->Hear(From("10.0.0.3", "here"));
+    this->Pass(seconds(1));
+    this->datagrams.clear();
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(NeighbourFixture,
+                 "gateway, a stream is placed, the neighbour is told before "
+                 "the next one is likely to come",
+                 "[gateway]") {
+  this->Ask("/stream/7");
+  CHECK(this->host.NextWakeup() <= this->now + milliseconds(20));
+  this->Pass(milliseconds(20));
+  const auto tells = [](const PeerSend& sent) {
+    const absl::StatusOr<NeighbourMessage> message =
+        DecodeNeighbourMessage(sent.bytes);
+    REQUIRE(message.ok());
+    return message->shares.size() == 1 && message->shares[0].running == 1;
+  };
+  CHECK(std::any_of(this->datagrams.begin(), this->datagrams.end(), tells));
+}
+
+TEST_CASE_METHOD(NeighbourFixture,
+                 "gateway, a neighbour says that a worker leaves, new streams "
+                 "go to the other",
+                 "[gateway]") {
+  NeighbourMessage message = From("10.0.0.3", "here");
+  message.leaving = {{UpstreamId{"one"}, 0, milliseconds(120)}};
+  this->Hear(message);
+  for (int i = 0; i < 4; ++i) {
+    this->Ask("/stream/" + std::to_string(i));
+    CHECK(HeaderOf(
+              this->Order("/stream/" + std::to_string(i) + "?a=%20b").headers,
+              "worker") == "two");
+  }
+}
+
+}  // namespace limpetlink::testing
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -1,29 +1,24 @@
 /// @file
-/// @brief What entry hosts of one failure domain tell each other.
+/// @brief What entry hosts tell each other.
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
 #include "base/base.h"
+#include "routing/routing.h"
 
 namespace limpetlink {
 
-/// @brief A host's own requests at one worker.
-struct WorkerShare {
-  UpstreamId worker;
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;  ///< without a first byte of their answer
-  std::uint64_t tokens = 0;   ///< of memory when they have ended
-};
-
 /// @brief A start of a worker that leaves.
 struct LeavingWorker {
   UpstreamId worker;
   std::int64_t started_at = 0;  ///< as in its registration
+  Duration age{0};              ///< since the first host noticed
 };
 
 /// @brief Where a host can be told things.
@@ -32,6 +27,18 @@
   std::string address;  ///< "ip:port"
 };
 
+/// @brief A host of another failure domain that tells its own what it is told.
+struct DomainContact {
+  FailureDomainId domain;
+  NeighbourAddress host;
+};
+
+/// @brief What all hosts of a failure domain have at the workers.
+struct DomainLoads {
+  FailureDomainId domain;
+  std::vector<OwnLoad> loads;
+};
+
 /// @brief A host's whole state as its neighbours need it. Each message replaces
 /// the one before, so that a lost datagram costs its own news only.
 struct NeighbourMessage {
@@ -40,9 +47,11 @@
   std::string address;
   std::uint64_t sequence = 0;  ///< rises with each message of a start
   bool asks = false;           ///< wants to be told who its neighbours are
-  std::vector<WorkerShare> shares;
+  std::vector<OwnLoad> shares;
   std::vector<LeavingWorker> leaving;
   std::vector<NeighbourAddress> neighbours;  ///< the answer to a question
+  std::vector<DomainContact> contacts;       ///< in the same answer
+  std::optional<DomainLoads> domain_loads;   ///< of a domain, not of the host
 };
 
 /// @brief Writes a message as CBOR.
--- a/src/neighbours/detail/neighbours.h
+++ b/src/neighbours/detail/neighbours.h
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Keeps the entry hosts of a failure domain in touch.
+/// @brief Keeps entry hosts in touch.
 #pragma once
 
 #include <cstdint>
@@ -24,17 +24,25 @@
 
 /// @brief What a host tells of itself and learns from others.
 struct NeighbourHooks {
-  std::function<std::vector<WorkerShare>()> shares;
-  std::function<void(Instant, const HostId&, const std::vector<WorkerShare>&)>
+  std::function<std::vector<OwnLoad>()> shares;
+  std::function<void(Instant, const HostId&, const std::vector<OwnLoad>&)>
       take_shares;
+  std::function<void(const HostId&)> found;   ///< a neighbour was heard of
   std::function<void(const HostId&)> forget;  ///< a neighbour fell silent
   std::function<void(Instant, const LeavingWorker&)> take_leaving;
+  /// What all hosts of the own failure domain have at the workers.
+  std::function<std::vector<OwnLoad>()> domain_loads;
+  /// The same of another failure domain; replaces what was told before.
+  std::function<void(Instant, const DomainLoads&)> take_domain_loads;
+  std::function<void(const FailureDomainId&)> forget_domain;  ///< silent
 };
 
 /// @brief Exchanges state with the live hosts of the own failure domain over
 /// datagrams: at once when it changes, and every second. Seeds are asked who
-/// the neighbours are. All of it is advice: a host that knows no neighbour
-/// serves as well, and places worse.
+/// the neighbours are. The host of a failure domain with the lowest id tells
+/// one host of each other domain what its own has at the workers, and that
+/// one tells its neighbours. All of it is advice: a host that knows no
+/// neighbour serves as well, and places worse.
 class Neighbours {
  public:
   Neighbours(NeighbourSettings settings, NeighbourHooks hooks)
@@ -47,7 +55,7 @@
   /// @brief The own state changed; neighbours are told with the next Tick.
   void NoteChange(Instant now);
 
-  /// @brief A worker leaves; neighbours are told.
+  /// @brief This host noticed that a worker leaves; others are told.
   void NoteLeaving(Instant now, const LeavingWorker& worker);
 
   void Tick(Instant now);
@@ -67,23 +75,40 @@
     std::string address;
     Instant heard{};
   };
+  struct Contact {
+    NeighbourAddress host;
+    Instant heard{};
+  };
   struct Told {
     LeavingWorker worker;
-    Instant until{};
+    Instant noticed{};
+    bool heard = false;  ///< from a neighbour, who tells the others itself
   };
 
   NeighbourMessage Make(bool asks);
+  /// @param heard those that neighbours told of, too
+  std::vector<LeavingWorker> Leaving(Instant now, bool heard) const;
+  void HearLeaving(Instant now, const LeavingWorker& worker);
   void SendTo(const std::string& address, const NeighbourMessage& message);
   void Answer(const NeighbourMessage& question);
+  void TakeContact(Instant now, const DomainContact& contact);
+  void TakeDomain(Instant now, const NeighbourMessage& message);
+  void TellDomains(Instant now);
+  void Prune(Instant now);
+  /// @return whether this host tells other domains of its own
+  bool Speaks() const;
 
   NeighbourSettings settings;
   NeighbourHooks hooks;
   std::map<HostId, Known> known;
   std::map<HostId, Elsewhere> asked_here;  ///< hosts that took this for a seed
+  std::map<FailureDomainId, Contact> contacts;  ///< of other domains
+  std::map<FailureDomainId, Instant> domains_heard;
   std::vector<Told> leaving;
   std::uint64_t sequence = 0;
   Instant next_state{};
   Instant next_question{};
+  Instant next_domains{};
   Instant last_state{};
   Actions actions;
 };
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -12,6 +12,7 @@
 constexpr std::size_t kMaxRows = 256;
 constexpr std::size_t kMaxText = 256;
 constexpr std::uint64_t kMaxTokens = 1ULL << 40U;
+constexpr std::uint64_t kMaxAgeMs = 60'000;
 constexpr std::uint64_t kMaxRunning = 1ULL << 20U;
 
 /// @brief Reads a message's members; one fault spoils it.
@@ -52,27 +53,64 @@
   bool sound = true;
 };
 
+Json EncodeLoads(const std::vector<OwnLoad>& loads) {
+  Json rows = Json::array();
+  for (const OwnLoad& load : loads) {
+    if (rows.size() == kMaxRows) {
+      break;
+    }
+    rows.push_back({load.worker.value, load.running, load.waiting,
+                    load.waiting_tokens, load.tokens});
+  }
+  return rows;
+}
+
+std::vector<OwnLoad> ReadLoads(const Json& root, const char* member,
+                               Reader* reader) {
+  std::vector<OwnLoad> loads;
+  for (const Json& row : reader->Rows(root, member, 5)) {
+    OwnLoad load;
+    load.worker.value = reader->Text(row[0]);
+    load.running =
+        static_cast<std::uint32_t>(reader->Number(row[1], kMaxRunning));
+    load.waiting =
+        static_cast<std::uint32_t>(reader->Number(row[2], kMaxRunning));
+    load.waiting_tokens = reader->Number(row[3], kMaxTokens);
+    load.tokens = reader->Number(row[4], kMaxTokens);
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
 }  // namespace
 
 std::string EncodeNeighbourMessage(const NeighbourMessage& message) {
-  Json shares = Json::array();
-  for (const WorkerShare& share : message.shares) {
-    shares.push_back(
-        {share.worker.value, share.running, share.waiting, share.tokens});
-  }
   Json leaving = Json::array();
   for (const LeavingWorker& worker : message.leaving) {
-    leaving.push_back({worker.worker.value, worker.started_at});
+    const std::int64_t age_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(worker.age)
+            .count();
+    leaving.push_back({worker.worker.value, worker.started_at, age_ms});
   }
   Json neighbours = Json::array();
   for (const NeighbourAddress& neighbour : message.neighbours) {
     neighbours.push_back({neighbour.host.value, neighbour.address});
   }
-  const Json root = {
-      {"host", message.host.value},    {"domain", message.domain.value},
-      {"address", message.address},    {"sequence", message.sequence},
-      {"asks", message.asks},          {"shares", std::move(shares)},
-      {"leaving", std::move(leaving)}, {"neighbours", std::move(neighbours)}};
+  Json contacts = Json::array();
+  for (const DomainContact& contact : message.contacts) {
+    contacts.push_back(
+        {contact.domain.value, contact.host.host.value, contact.host.address});
+  }
+  Json root = {
+      {"host", message.host.value},     {"domain", message.domain.value},
+      {"address", message.address},     {"sequence", message.sequence},
+      {"asks", message.asks},           {"shares", EncodeLoads(message.shares)},
+      {"leaving", std::move(leaving)},  {"neighbours", std::move(neighbours)},
+      {"contacts", std::move(contacts)}};
+  if (message.domain_loads.has_value()) {
+    root["loads_of"] = message.domain_loads->domain.value;
+    root["loads"] = EncodeLoads(message.domain_loads->loads);
+  }
   return EncodeCbor(root);
 }
 
@@ -100,27 +138,29 @@
   message.sequence = reader.Number(root["sequence"], UINT64_MAX);
   reader.sound = reader.sound && root["asks"].is_boolean();
   message.asks = reader.sound && root["asks"].get<bool>();
-  for (const Json& row : reader.Rows(root, "shares", 4)) {
-    WorkerShare share;
-    share.worker.value = reader.Text(row[0]);
-    share.running =
-        static_cast<std::uint32_t>(reader.Number(row[1], kMaxRunning));
-    share.waiting =
-        static_cast<std::uint32_t>(reader.Number(row[2], kMaxRunning));
-    share.tokens = reader.Number(row[3], kMaxTokens);
-    message.shares.push_back(std::move(share));
-  }
-  for (const Json& row : reader.Rows(root, "leaving", 2)) {
+  message.shares = ReadLoads(root, "shares", &reader);
+  for (const Json& row : reader.Rows(root, "leaving", 3)) {
     reader.sound = reader.sound && row[1].is_number_integer();
     if (reader.sound) {
+      const std::chrono::milliseconds age(reader.Number(row[2], kMaxAgeMs));
       message.leaving.push_back(
-          {UpstreamId{reader.Text(row[0])}, row[1].get<std::int64_t>()});
+          {UpstreamId{reader.Text(row[0])}, row[1].get<std::int64_t>(), age});
     }
   }
   for (const Json& row : reader.Rows(root, "neighbours", 2)) {
     message.neighbours.push_back(
         {HostId{reader.Text(row[0])}, reader.Text(row[1])});
   }
+  for (const Json& row : reader.Rows(root, "contacts", 3)) {
+    message.contacts.push_back(
+        {FailureDomainId{reader.Text(row[0])},
+         {HostId{reader.Text(row[1])}, reader.Text(row[2])}});
+  }
+  if (root.contains("loads_of")) {
+    message.domain_loads =
+        DomainLoads{FailureDomainId{reader.Text(root["loads_of"])},
+                    ReadLoads(root, "loads", &reader)};
+  }
   if (!reader.sound) {
     return unreadable;
   }
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -1,6 +1,7 @@
 #include "neighbours/neighbours.h"
 
 #include <algorithm>
+#include <set>
 
 namespace limpetlink {
 namespace {
@@ -15,6 +16,11 @@
 constexpr Duration kAskerLife = std::chrono::milliseconds(11000);
 // A lost datagram is made up for by the next states.
 constexpr Duration kLeavingTold = std::chrono::milliseconds(2500);
+// Other domains place here only what finds no room at home, so that a few
+// messages a second are enough.
+constexpr Duration kDomainsEvery = std::chrono::milliseconds(100);
+constexpr Duration kDomainSilence = std::chrono::milliseconds(1600);
+constexpr std::size_t kMostDomains = 32;
 constexpr std::size_t kMostNeighbours = 64;
 constexpr std::size_t kMostAskers = 2048;
 
@@ -38,12 +44,22 @@
 
 void Neighbours::Answer(const NeighbourMessage& question) {
   NeighbourMessage answer = this->Make(false);
+  std::set<FailureDomainId> named = {question.domain};
+  if (question.domain != this->settings.domain) {
+    named.insert(this->settings.domain);
+    answer.contacts.push_back(
+        {this->settings.domain, {this->settings.self, this->settings.address}});
+  }
   for (const auto& [host, asker] : this->asked_here) {
     const bool wanted =
         asker.domain == question.domain && host != question.host;
     if (wanted && answer.neighbours.size() < kMostNeighbours) {
       answer.neighbours.push_back({host, asker.address});
     }
+    // The first of a domain is the one with the lowest id.
+    if (named.size() <= kMostDomains && named.insert(asker.domain).second) {
+      answer.contacts.push_back({asker.domain, {host, asker.address}});
+    }
   }
   if (this->settings.domain == question.domain) {
     answer.neighbours.push_back({this->settings.self, this->settings.address});
@@ -62,6 +78,7 @@
   }
   if (message.asks && this->asked_here.size() < kMostAskers) {
     this->asked_here[message.host] = {message.domain, message.address, now};
+    this->TakeContact(now, {message.domain, {message.host, message.address}});
     this->Answer(message);
   }
   for (const NeighbourAddress& neighbour : message.neighbours) {
@@ -70,9 +87,17 @@
                         this->known.size() < kMostNeighbours;
     if (is_new) {
       this->known[neighbour.host] = {neighbour.address, 0, now};
+      this->hooks.found(neighbour.host);
       this->next_state = std::min(this->next_state, now);
     }
   }
+  for (const DomainContact& contact : message.contacts) {
+    this->TakeContact(now, contact);
+  }
+  if (message.domain_loads.has_value()) {
+    this->TakeDomain(now, message);
+    return true;
+  }
   if (message.domain != this->settings.domain || message.asks ||
       !message.neighbours.empty()) {
     return true;
@@ -81,6 +106,9 @@
   if (found == this->known.end() && this->known.size() >= kMostNeighbours) {
     return true;
   }
+  if (found == this->known.end()) {
+    this->hooks.found(message.host);
+  }
   Known& sender = this->known[message.host];
   const bool restarted = sender.address != message.address;
   const bool old = !restarted && message.sequence <= sender.sequence &&
@@ -93,19 +121,134 @@
   sender.sequence = message.sequence;
   this->hooks.take_shares(now, message.host, message.shares);
   for (const LeavingWorker& worker : message.leaving) {
-    this->hooks.take_leaving(now, worker);
+    this->HearLeaving(now, worker);
   }
   return true;
 }
 
+void Neighbours::TakeContact(Instant now, const DomainContact& contact) {
+  if (contact.domain == this->settings.domain) {
+    return;
+  }
+  const auto found = this->contacts.find(contact.domain);
+  if (found == this->contacts.end()) {
+    if (this->contacts.size() < kMostDomains) {
+      this->contacts[contact.domain] = {contact.host, now};
+    }
+    return;
+  }
+  // The lowest id stays, so that all turn to the same host.
+  const bool replaces = !(found->second.host.host < contact.host.host) ||
+                        now - found->second.heard > kAskerLife;
+  if (replaces) {
+    found->second = {contact.host, now};
+  }
+}
+
+void Neighbours::TakeDomain(Instant now, const NeighbourMessage& message) {
+  const DomainLoads& told = *message.domain_loads;
+  const bool usable = told.domain != this->settings.domain &&
+                      (this->domains_heard.count(told.domain) > 0 ||
+                       this->domains_heard.size() < kMostDomains);
+  if (!usable) {
+    return;
+  }
+  this->domains_heard[told.domain] = now;
+  this->hooks.take_domain_loads(now, told);
+  for (const LeavingWorker& worker : message.leaving) {
+    this->hooks.take_leaving(now, worker);
+  }
+  if (message.domain == this->settings.domain) {
+    return;
+  }
+  NeighbourMessage relayed = this->Make(false);
+  relayed.domain_loads = told;
+  relayed.leaving = message.leaving;
+  for (const auto& [host, neighbour] : this->known) {
+    this->SendTo(neighbour.address, relayed);
+  }
+}
+
+bool Neighbours::Speaks() const {
+  return this->known.empty() ||
+         this->settings.self < this->known.begin()->first;
+}
+
+void Neighbours::TellDomains(Instant now) {
+  this->next_domains = now + kDomainsEvery;
+  if (this->contacts.empty() || !this->Speaks()) {
+    return;
+  }
+  NeighbourMessage message = this->Make(false);
+  message.domain_loads =
+      DomainLoads{this->settings.domain, this->hooks.domain_loads()};
+  message.leaving = this->Leaving(now, true);
+  for (const auto& [domain, contact] : this->contacts) {
+    this->SendTo(contact.host.address, message);
+  }
+}
+
+void Neighbours::Prune(Instant now) {
+  for (auto it = this->known.begin(); it != this->known.end();) {
+    if (now - it->second.heard <= kSilence) {
+      ++it;
+      continue;
+    }
+    this->hooks.forget(it->first);
+    it = this->known.erase(it);
+  }
+  for (auto it = this->domains_heard.begin();
+       it != this->domains_heard.end();) {
+    if (now - it->second <= kDomainSilence) {
+      ++it;
+      continue;
+    }
+    this->hooks.forget_domain(it->first);
+    it = this->domains_heard.erase(it);
+  }
+  for (auto it = this->contacts.begin(); it != this->contacts.end();) {
+    it = now - it->second.heard > kAskerLife ? this->contacts.erase(it)
+                                             : std::next(it);
+  }
+  this->leaving.erase(std::remove_if(this->leaving.begin(), this->leaving.end(),
+                                     [now](const Told& told) {
+                                       return now - told.noticed > kLeavingTold;
+                                     }),
+                      this->leaving.end());
+}
+
 void Neighbours::NoteChange(Instant now) {
   this->next_state = std::min(this->next_state,
                               std::max(now, this->last_state + kStateSpacing));
 }
 
 void Neighbours::NoteLeaving(Instant now, const LeavingWorker& worker) {
-  this->leaving.push_back({worker, now + kLeavingTold});
+  this->leaving.push_back({worker, now - worker.age, false});
   this->next_state = std::min(this->next_state, now);
+  this->next_domains = std::min(this->next_domains, now);
+}
+
+void Neighbours::HearLeaving(Instant now, const LeavingWorker& worker) {
+  this->hooks.take_leaving(now, worker);
+  const auto same = [&worker](const Told& told) {
+    return told.worker.worker == worker.worker &&
+           told.worker.started_at == worker.started_at;
+  };
+  if (std::none_of(this->leaving.begin(), this->leaving.end(), same)) {
+    this->leaving.push_back({worker, now - worker.age, true});
+    this->next_domains = std::min(this->next_domains, now);
+  }
+}
+
+std::vector<LeavingWorker> Neighbours::Leaving(Instant now, bool heard) const {
+  std::vector<LeavingWorker> workers;
+  for (const Told& told : this->leaving) {
+    if (heard || !told.heard) {
+      workers.push_back(told.worker);
+      workers.back().age = now - told.noticed;
+    }
+  }
+  return workers;
 }
 
 void Neighbours::Tick(Instant now) {
@@ -125,31 +268,21 @@
                                                : std::next(it);
     }
   }
+  if (this->next_domains <= now) {
+    this->TellDomains(now);
+  }
   if (this->next_state > now) {
     return;
   }
   this->last_state = now;
   this->next_state = now + kStateEvery;
-  for (auto it = this->known.begin(); it != this->known.end();) {
-    if (now - it->second.heard <= kSilence) {
-      ++it;
-      continue;
-    }
-    this->hooks.forget(it->first);
-    it = this->known.erase(it);
-  }
-  this->leaving.erase(
-      std::remove_if(this->leaving.begin(), this->leaving.end(),
-                     [now](const Told& told) { return told.until < now; }),
-      this->leaving.end());
+  this->Prune(now);
   if (this->known.empty()) {
     return;
   }
   NeighbourMessage message = this->Make(false);
   message.shares = this->hooks.shares();
-  for (const Told& told : this->leaving) {
-    message.leaving.push_back(told.worker);
-  }
+  message.leaving = this->Leaving(now, false);
   for (const auto& [host, neighbour] : this->known) {
     this->SendTo(neighbour.address, message);
   }
@@ -158,7 +291,8 @@
 Instant Neighbours::NextWakeup() const {
   return this->settings.address.empty()
              ? kNever
-             : std::min(this->next_state, this->next_question);
+             : std::min(
+                   {this->next_state, this->next_question, this->next_domains});
 }
 
 }  // namespace limpetlink
--- a/src/neighbours/tests/neighbours_test.cc
+++ b/src/neighbours/tests/neighbours_test.cc
@@ -14,8 +14,9 @@
   struct Member {
     std::unique_ptr<Neighbours> host;
     std::string address;
-    std::vector<WorkerShare> shares;
-    std::map<std::string, std::uint32_t> running;  ///< as told by others
+    std::vector<OwnLoad> shares;
+    std::map<std::string, std::uint32_t> running;    ///< as told by others
+    std::map<std::string, std::uint32_t> elsewhere;  ///< by domain
     std::vector<std::string> leaving;
     bool down = false;
   };
@@ -26,19 +27,33 @@
     NeighbourHooks hooks;
     hooks.shares = [&member] { return member.shares; };
     hooks.take_shares = [&member](Instant, const HostId& host,
-                                  const std::vector<WorkerShare>& shares) {
+                                  const std::vector<OwnLoad>& shares) {
       std::uint32_t sum = 0;
-      for (const WorkerShare& share : shares) {
+      for (const OwnLoad& share : shares) {
         sum += share.running;
       }
       member.running[host.value] = sum;
     };
+    hooks.found = [&member](const HostId& host) {
+      member.running.try_emplace(host.value, 0);
+    };
     hooks.forget = [&member](const HostId& host) {
       member.running.erase(host.value);
     };
     hooks.take_leaving = [&member](Instant, const LeavingWorker& worker) {
       member.leaving.push_back(worker.worker.value);
     };
+    hooks.domain_loads = [&member] { return member.shares; };
+    hooks.take_domain_loads = [&member](Instant, const DomainLoads& told) {
+      std::uint32_t sum = 0;
+      for (const OwnLoad& load : told.loads) {
+        sum += load.running;
+      }
+      member.elsewhere[told.domain.value] = sum;
+    };
+    hooks.forget_domain = [&member](const FailureDomainId& domain) {
+      member.elsewhere.erase(domain.value);
+    };
     member.host = std::make_unique<Neighbours>(
         NeighbourSettings{
             HostId{name}, FailureDomainId{domain}, name, {"seed-1", "seed-2"}},
@@ -95,12 +110,47 @@
   Group::Member& seed = group.Add("seed-1", "east");
   Group::Member& host = group.Add("host", "east");
   group.Pass(seconds(3));
-  host.shares = {{UpstreamId{"w"}, 4, 1, 9000}};
+  host.shares = {{UpstreamId{"w"}, 4, 1, 3000, 9000}};
   host.host->NoteChange(group.now);
   group.Pass(milliseconds(50));
   CHECK(seed.running.at("host") == 4);
 }
 
+TEST_CASE(
+    "neighbours, a domain's loads change, hosts of other domains know within "
+    "half a second",
+    "[neighbours]") {
+  Group group;
+  Group::Member& seed = group.Add("seed-1", "east");
+  Group::Member& east = group.Add("host-east", "east");
+  group.Add("host-west-1", "west");
+  Group::Member& west = group.Add("host-west-2", "west");
+  group.Pass(seconds(8));
+  // The lowest id of its domain tells of it.
+  east.shares = {{UpstreamId{"w"}, 4, 1, 3000, 9000}};
+  group.Pass(milliseconds(500));
+  CHECK(west.elsewhere.at("east") == 4);
+  CHECK(seed.elsewhere.count("east") == 0);
+}
+
+TEST_CASE(
+    "neighbours, the host that speaks for a domain dies, another one does",
+    "[neighbours]") {
+  Group group;
+  Group::Member& seed = group.Add("seed-1", "east");
+  Group::Member& east = group.Add("host-east", "east");
+  Group::Member& west = group.Add("host-west", "west");
+  group.Pass(seconds(8));
+  east.down = true;
+  group.Pass(seconds(6));
+  seed.shares = {{UpstreamId{"w"}, 7, 1, 3000, 9000}};
+  group.Pass(seconds(1));
+  CHECK(west.elsewhere.at("east") == 7);
+  seed.down = true;
+  group.Pass(seconds(4));
+  CHECK(west.elsewhere.empty());
+}
+
 TEST_CASE("neighbours, a fifth of the datagrams lost, states still arrive",
           "[neighbours]") {
   Group group;
@@ -108,8 +158,8 @@
   Group::Member& seed = group.Add("seed-1", "east");
   Group::Member& host = group.Add("host", "east");
   group.Pass(seconds(15));
-  host.shares = {{UpstreamId{"w"}, 4, 1, 9000}};
-  host.host->NoteLeaving(group.now, {UpstreamId{"gone"}, 7});
+  host.shares = {{UpstreamId{"w"}, 4, 1, 3000, 9000}};
+  host.host->NoteLeaving(group.now, {UpstreamId{"gone"}, 7, {}});
   group.Pass(seconds(4));
   CHECK(seed.running.at("host") == 4);
   CHECK_FALSE(seed.leaving.empty());
@@ -148,8 +198,8 @@
   message.host = HostId{"a"};
   message.domain = FailureDomainId{"d"};
   message.address = "10.0.0.1:1";
-  message.shares = {{UpstreamId{"w"}, 4, 1, 9000}};
-  message.leaving = {{UpstreamId{"w"}, -5}};
+  message.shares = {{UpstreamId{"w"}, 4, 1, 3000, 9000}};
+  message.leaving = {{UpstreamId{"w"}, -5, milliseconds(90)}};
   message.neighbours = {{HostId{"b"}, "10.0.0.2:1"}};
   const std::string whole = EncodeNeighbourMessage(message);
   const auto read = DecodeNeighbourMessage(whole);
--- a/src/routing/detail/load_table.h
+++ b/src/routing/detail/load_table.h
@@ -27,19 +27,22 @@
 struct OwnLoad {
   UpstreamId worker;
   std::uint32_t running = 0;
-  std::uint32_t waiting = 0;  ///< without a first byte of their answer
-  std::uint64_t tokens = 0;
+  std::uint32_t waiting = 0;         ///< without a first byte of their answer
+  std::uint64_t waiting_tokens = 0;  ///< prompts of those that wait
+  std::uint64_t tokens = 0;          ///< of memory when all have ended
 };
 
-/// @brief What a request will take at a worker.
+/// @brief What a request will take at a worker; zeros when its service runs no
+/// model.
 struct RequestSize {
-  std::uint64_t tokens = 0;  ///< of memory when it has ended; 0 when its
-                             ///< service runs no model
+  std::uint64_t prompt_tokens = 0;  ///< to be read before the first byte
+  std::uint64_t tokens = 0;         ///< of memory when it has ended
 };
 
 /// @brief A worker that may be chosen.
 struct LoadCandidate {
   UpstreamId worker;
+  FailureDomainId domain;
   Distance distance = Distance::kSameDomain;
   std::uint32_t slots = 1;
   std::uint64_t memory_tokens = 0;  ///< 0: its service runs no model
@@ -48,8 +51,9 @@
 /// @brief The chosen worker and the inputs of the choice.
 struct LoadChoice {
   UpstreamId worker;
-  double load = 0;                ///< estimated, 1 being full
+  double delay_ms = 0;            ///< estimated, to the first byte
   std::uint32_t own_running = 0;  ///< requests of this host there
+  OwnLoad others;                 ///< as other hosts told
   std::optional<Duration> report_age;
 };
 
@@ -70,11 +74,22 @@
   /// @brief Another host fell silent; what it told counts no more.
   void ForgetHost(const HostId& host);
 
+  /// @brief All hosts of another failure domain were summed up; replaces what
+  /// was told of them before.
+  void TakeDomainLoads(Instant now, const FailureDomainId& domain,
+                       const std::vector<OwnLoad>& loads);
+
+  /// @brief Another failure domain fell silent.
+  void ForgetDomain(const FailureDomainId& domain);
+
   /// @return this host's own requests at the workers
   std::vector<OwnLoad> OwnLoads() const;
 
+  /// @return the requests of this host and of those that told it of theirs
+  std::vector<OwnLoad> DomainLoads() const;
+
   /// @brief The first byte of an answer came.
-  void Started(const UpstreamId& worker);
+  void Started(const UpstreamId& worker, const RequestSize& size);
 
   /// @brief A request was sent to the worker.
   void Begin(Instant now, const UpstreamId& worker, const RequestSize& size);
@@ -95,7 +110,7 @@
   /// @brief Forgets a worker; also when it starts again under its id.
   void Forget(const UpstreamId& worker);
 
-  /// @brief Chooses the worker with the least estimated load, near ones first.
+  /// @brief Chooses the worker with the least estimated delay, near ones first.
   /// Ejected workers are taken only when there is no other. A worker whose
   /// memory is not told is taken to be loaded as the others are. Of many
   /// candidates at the least distance only a random part is compared: many
@@ -116,6 +131,7 @@
   struct Entry {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    std::uint64_t waiting_tokens = 0;
     std::uint64_t tokens = 0;
     std::uint32_t own_at_report = 0;
     std::deque<Begun> begun;  ///< younger than the longest lag
@@ -128,18 +144,26 @@
 
   std::vector<LoadCandidate> Sample(std::vector<LoadCandidate> candidates);
   bool MemoryTold(Instant now, const Entry& entry) const;
-  double UsualLoad(Instant now, const std::vector<LoadCandidate>& candidates,
-                   const RequestSize& size);
-  double MemoryOf(Instant now, const Entry& entry, const RequestSize& size,
-                  std::uint32_t others) const;
-  double LoadOf(Instant now, const Entry& entry, const LoadCandidate& candidate,
-                const RequestSize& size) const;
+  double UsualDelay(Instant now, const std::vector<LoadCandidate>& candidates,
+                    const RequestSize& size);
+  double ReportedMemory(Instant now, const Entry& entry) const;
+  double SlotDelay(Instant now, const Entry& entry,
+                   const LoadCandidate& candidate) const;
+  double EngineDelay(Instant now, const Entry& entry,
+                     const LoadCandidate& candidate,
+                     const RequestSize& size) const;
 
   /// @brief What all other hosts told of a worker.
   OwnLoad OthersAt(const UpstreamId& worker) const;
 
+  /// @return whether the requests at a worker are known well enough to compare
+  bool LoadTold(Instant now, const Entry& entry,
+                const LoadCandidate& candidate) const;
+
   std::map<UpstreamId, Entry> entries;
-  std::map<HostId, std::map<UpstreamId, OwnLoad>> told;
+  using LoadsByWorker = std::map<UpstreamId, OwnLoad>;
+  std::map<HostId, LoadsByWorker> told;
+  std::map<FailureDomainId, LoadsByWorker> told_by_domain;
   Random random;
 };
 
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -9,34 +9,60 @@
 // one is still nearer the truth than this host's own requests alone.
 constexpr Duration kReportLife = std::chrono::milliseconds(1500);
 constexpr Duration kMemoryReportLife = std::chrono::milliseconds(4000);
-// Load that a worker farther away must have less to be chosen: a round trip
-// between regions is billed and takes as long as an order's work.
-constexpr double kOtherDomain = 0.10;
-constexpr double kOtherRegion = 0.60;
-constexpr double kRandomPart = 0.04;
+constexpr double kRandomPartMs = 4.0;
 // Near candidates that are all compared, and how many of more are.
 constexpr std::size_t kComparedAll = 5;
 constexpr std::size_t kCompared = 2;
 // Weight of the newest attempt in a worker's share of failures.
 constexpr double kNewestFailure = 0.15;
-// Load that a worker which fails every attempt is counted to have on top.
-constexpr double kFailureLoad = 1.5;
-// A prompt that is still being read slows all that run beside it, and the next
-// prompt waits for it.
-constexpr double kPrefillLoad = 0.15;
+// What a worker that fails every attempt is counted to delay: a plain request
+// is tried again, a stream is lost.
+constexpr double kFailureMs = 150.0;
+constexpr double kEngineFailureMs = 1500.0;
+// Delay of a plain request at a worker whose slots are all taken.
+constexpr double kFullSlotsMs = 100.0;
+// An engine that reads prompts between the tokens of running streams takes
+// this long for each token of a prompt.
+constexpr double kReadMsPerToken = 0.14;
+// Memory beyond what the worker has is waited for until a stream ends, or
+// costs a running stream its place.
+constexpr double kNoRoomMsPerToken = 0.5;
+// Part of the memory that expected ends may fill; guesses are often too low.
+constexpr double kFullMemory = 0.95;
+// A full worker makes tokens more slowly and loses more when it leaves.
+constexpr double kMemoryMs = 250.0;
 // Memory that a request of another host is counted to hold.
 constexpr double kOtherRequestTokens = 3000.0;
+// A stream farther away is harder to save when its worker leaves, and what is
+// known of the load there is older.
+constexpr double kOtherDomainMs = 100.0;
+constexpr double kOtherRegionMs = 400.0;
 
-double DistanceLoad(Distance distance) {
+std::map<UpstreamId, OwnLoad> ByWorker(const std::vector<OwnLoad>& loads) {
+  std::map<UpstreamId, OwnLoad> by_worker;
+  for (const OwnLoad& load : loads) {
+    by_worker[load.worker] = load;
+  }
+  return by_worker;
+}
+
+void Add(const OwnLoad& load, OwnLoad* sum) {
+  sum->running += load.running;
+  sum->waiting += load.waiting;
+  sum->waiting_tokens += load.waiting_tokens;
+  sum->tokens += load.tokens;
+}
+
+double DistanceMs(Distance distance) {
   switch (distance) {
     case Distance::kSameDomain:
       return 0;
     case Distance::kSameRegion:
-      return kOtherDomain;
+      return kOtherDomainMs;
     case Distance::kOtherRegion:
-      return kOtherRegion;
+      return kOtherRegionMs;
   }
-  return kOtherRegion;
+  return kOtherRegionMs;
 }
 
 }  // namespace
@@ -46,6 +72,7 @@
   Entry& entry = this->entries[worker];
   ++entry.running;
   ++entry.waiting;
+  entry.waiting_tokens += size.prompt_tokens;
   entry.tokens += size.tokens;
   if (size.tokens > 0) {
     entry.begun.push_back({now, size.tokens});
@@ -65,24 +92,32 @@
   entry.running -= std::min(entry.running, 1U);
   entry.tokens -= std::min(entry.tokens, size.tokens);
   if (!started) {
-    entry.waiting -= std::min(entry.waiting, 1U);
+    this->Started(worker, size);
   }
 }
 
-void LoadTable::Started(const UpstreamId& worker) {
+void LoadTable::Started(const UpstreamId& worker, const RequestSize& size) {
   const auto found = this->entries.find(worker);
-  if (found != this->entries.end()) {
-    found->second.waiting -= std::min(found->second.waiting, 1U);
+  if (found == this->entries.end()) {
+    return;
   }
+  Entry& entry = found->second;
+  entry.waiting -= std::min(entry.waiting, 1U);
+  entry.waiting_tokens -= std::min(entry.waiting_tokens, size.prompt_tokens);
 }
 
 void LoadTable::TakeShares(Instant /*now*/, const HostId& host,
                            const std::vector<OwnLoad>& shares) {
-  std::map<UpstreamId, OwnLoad>& by_worker = this->told[host];
-  by_worker.clear();
-  for (const OwnLoad& share : shares) {
-    by_worker[share.worker] = share;
-  }
+  this->told[host] = ByWorker(shares);
+}
+
+void LoadTable::TakeDomainLoads(Instant /*now*/, const FailureDomainId& domain,
+                                const std::vector<OwnLoad>& loads) {
+  this->told_by_domain[domain] = ByWorker(loads);
+}
+
+void LoadTable::ForgetDomain(const FailureDomainId& domain) {
+  this->told_by_domain.erase(domain);
 }
 
 void LoadTable::ForgetHost(const HostId& host) { this->told.erase(host); }
@@ -91,25 +126,60 @@
   std::vector<OwnLoad> loads;
   for (const auto& [worker, entry] : this->entries) {
     if (entry.running > 0) {
-      loads.push_back({worker, entry.running, entry.waiting, entry.tokens});
+      loads.push_back({worker, entry.running, entry.waiting,
+                       entry.waiting_tokens, entry.tokens});
+    }
+  }
+  return loads;
+}
+
+std::vector<OwnLoad> LoadTable::DomainLoads() const {
+  LoadsByWorker sums;
+  const auto add = [&sums](const OwnLoad& load) {
+    OwnLoad& sum = sums[load.worker];
+    sum.worker = load.worker;
+    Add(load, &sum);
+  };
+  for (const OwnLoad& load : this->OwnLoads()) {
+    add(load);
+  }
+  for (const auto& [host, by_worker] : this->told) {
+    for (const auto& [worker, load] : by_worker) {
+      add(load);
     }
   }
+  std::vector<OwnLoad> loads;
+  loads.reserve(sums.size());
+  for (const auto& [worker, sum] : sums) {
+    loads.push_back(sum);
+  }
   return loads;
 }
 
 OwnLoad LoadTable::OthersAt(const UpstreamId& worker) const {
   OwnLoad sum;
-  for (const auto& [host, by_worker] : this->told) {
+  const auto add = [&](const LoadsByWorker& by_worker) {
     const auto found = by_worker.find(worker);
     if (found != by_worker.end()) {
-      sum.running += found->second.running;
-      sum.waiting += found->second.waiting;
-      sum.tokens += found->second.tokens;
+      Add(found->second, &sum);
     }
+  };
+  for (const auto& [host, by_worker] : this->told) {
+    add(by_worker);
+  }
+  for (const auto& [domain, by_worker] : this->told_by_domain) {
+    add(by_worker);
   }
   return sum;
 }
 
+bool LoadTable::LoadTold(Instant now, const Entry& entry,
+                         const LoadCandidate& candidate) const {
+  const bool near = candidate.distance == Distance::kSameDomain;
+  return this->MemoryTold(now, entry) || (near && !this->told.empty()) ||
+         this->told_by_domain.count(candidate.domain) > 0;
+}
+
 void LoadTable::Report(Instant now, const UpstreamId& worker,
                        const LoadReport& report) {
   Entry& entry = this->entries[worker];
@@ -146,30 +216,26 @@
          now - entry.reported_at <= kMemoryReportLife;
 }
 
-double LoadTable::UsualLoad(Instant now,
-                            const std::vector<LoadCandidate>& candidates,
-                            const RequestSize& size) {
+double LoadTable::UsualDelay(Instant now,
+                             const std::vector<LoadCandidate>& candidates,
+                             const RequestSize& size) {
   double sum = 0;
   std::uint32_t count = 0;
   for (const LoadCandidate& candidate : candidates) {
     const Entry& entry = this->entries[candidate.worker];
-    if (this->MemoryTold(now, entry)) {
-      sum += this->LoadOf(now, entry, candidate, size);
+    if (candidate.memory_tokens > 0 && this->LoadTold(now, entry, candidate)) {
+      sum += this->EngineDelay(now, entry, candidate, size);
       ++count;
     }
   }
   return count == 0 ? 0.0 : sum / count;
 }
 
-double LoadTable::MemoryOf(Instant now, const Entry& entry,
-                           const RequestSize& size,
-                           std::uint32_t others) const {
+double LoadTable::ReportedMemory(Instant now, const Entry& entry) const {
   if (!this->MemoryTold(now, entry)) {
-    return static_cast<double>(entry.tokens + size.tokens) +
-           kOtherRequestTokens * others;
+    return 0;
   }
-  double memory =
-      static_cast<double>(*entry.report.memory_tokens + size.tokens);
+  auto memory = static_cast<double>(*entry.report.memory_tokens);
   const Instant told_at = entry.reported_at - entry.report.lag;
   for (const Begun& begun : entry.begun) {
     memory += begun.at >= told_at ? static_cast<double>(begun.tokens) : 0.0;
@@ -177,28 +243,40 @@
   return memory;
 }
 
-double LoadTable::LoadOf(Instant now, const Entry& entry,
-                         const LoadCandidate& candidate,
-                         const RequestSize& size) const {
-  const OwnLoad told = this->OthersAt(candidate.worker);
-  std::uint32_t others = told.running;
+double LoadTable::SlotDelay(Instant now, const Entry& entry,
+                            const LoadCandidate& candidate) const {
+  std::uint32_t others = this->OthersAt(candidate.worker).running;
   const bool fresh = entry.reported && now - entry.reported_at <= kReportLife;
   if (fresh) {
     const std::uint32_t all = entry.report.running + entry.report.waiting;
     others = std::max(others, all - std::min(all, entry.own_at_report));
   }
   const double slots = std::max(1U, candidate.slots);
-  double load = (entry.running + others + 1.0) / slots;
-  if (candidate.memory_tokens > 0) {
-    const double known =
-        static_cast<double>(entry.tokens + told.tokens + size.tokens);
-    const double memory =
-        std::max(known, this->MemoryOf(now, entry, size, others));
-    load =
-        std::max(load, memory / static_cast<double>(candidate.memory_tokens));
-    load += kPrefillLoad * (entry.waiting + told.waiting);
+  return kFullSlotsMs * (entry.running + others + 1.0) / slots +
+         kFailureMs * entry.failures;
+}
+
+double LoadTable::EngineDelay(Instant now, const Entry& entry,
+                              const LoadCandidate& candidate,
+                              const RequestSize& size) const {
+  const OwnLoad told = this->OthersAt(candidate.worker);
+  auto expected = static_cast<double>(entry.tokens + told.tokens);
+  std::uint32_t untold = 0;
+  const bool fresh = entry.reported && now - entry.reported_at <= kReportLife;
+  if (fresh) {
+    const std::uint32_t all = entry.report.running + entry.report.waiting;
+    const std::uint32_t known = entry.own_at_report + told.running;
+    untold = all - std::min(all, known);
   }
-  return load + kFailureLoad * entry.failures;
+  expected += kOtherRequestTokens * untold;
+  expected = std::max(expected, this->ReportedMemory(now, entry)) +
+             static_cast<double>(size.tokens);
+  const auto memory = static_cast<double>(candidate.memory_tokens);
+  const double beyond = std::max(0.0, expected - kFullMemory * memory);
+  const auto to_read = static_cast<double>(
+      entry.waiting_tokens + told.waiting_tokens + size.prompt_tokens);
+  return kReadMsPerToken * to_read + kNoRoomMsPerToken * beyond +
+         kMemoryMs * expected / memory + kEngineFailureMs * entry.failures;
 }
 
 std::vector<LoadCandidate> LoadTable::Sample(
@@ -223,19 +301,21 @@
 std::optional<LoadChoice> LoadTable::Choose(
     Instant now, std::vector<LoadCandidate> candidates,
     const RequestSize& size) {
-  const double usual = this->UsualLoad(now, candidates, size);
+  const double usual = this->UsualDelay(now, candidates, size);
   candidates = this->Sample(std::move(candidates));
   std::optional<LoadChoice> best;
   double best_score = 0;
   bool best_ejected = true;
   for (const LoadCandidate& candidate : candidates) {
     const Entry& entry = this->entries[candidate.worker];
-    double load = this->LoadOf(now, entry, candidate, size);
-    if (candidate.memory_tokens > 0 && !this->MemoryTold(now, entry)) {
-      load = std::max(load, usual);
+    const bool engine = candidate.memory_tokens > 0;
+    double delay = engine ? this->EngineDelay(now, entry, candidate, size)
+                          : this->SlotDelay(now, entry, candidate);
+    if (engine && !this->LoadTold(now, entry, candidate)) {
+      delay = std::max(delay, usual);
     }
-    const double score = load + DistanceLoad(candidate.distance) +
-                         kRandomPart * this->random.Fraction();
+    delay += DistanceMs(candidate.distance);
+    const double score = delay + kRandomPartMs * this->random.Fraction();
     const bool ejected = entry.health.Ejected(now);
     const bool better = !best.has_value() || (best_ejected && !ejected) ||
                         (ejected == best_ejected && score < best_score);
@@ -244,7 +324,8 @@
     }
     best_score = score;
     best_ejected = ejected;
-    best = LoadChoice{candidate.worker, load, entry.running, std::nullopt};
+    best = LoadChoice{candidate.worker, delay, entry.running,
+                      this->OthersAt(candidate.worker), std::nullopt};
     if (entry.reported) {
       best->report_age = now - entry.reported_at;
     }
