Share linearizable calls of the store among neighbours

Ruled out: one reader that hands on configuration and registrations (each host would depend on it for data; it only saves the cheap calls too); ages told as they are (a frozen host would take an old datagram for a fresh one).

Change: the host with the lowest id of a domain proves a little earlier and tells its neighbours what its call showed: no change of the kind between two revisions, and when it left. A host that has all changes up to the first takes it over. The time is bound by an echo: the sender returns the receiver's own last clock, so that a proof never looks younger than it is, however long it was on its way. Pauses between cheap reads of registrations grow with the number of neighbours, who tell each other of leaving workers.

--- a/src/discovery/detail/kind_watch.h
+++ b/src/discovery/detail/kind_watch.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,15 @@
 
 namespace limpetlink {
 
+/// @brief What a linearizable call showed of a kind: all that the store had
+/// accepted when the call left stands at its revision.
+struct KindProof {
+  std::string kind;
+  std::uint64_t changed_at = 0;  ///< no change of the kind lies between this
+  std::uint64_t revision = 0;    ///< and this revision
+  Instant asked_at{};            ///< on the clock of the host that holds it
+};
+
 /// @brief How a kind is followed.
 struct KindWatchSettings {
   std::string kind;
@@ -19,6 +29,8 @@
   /// two of them cheap watches, whose answers may be stale, bring the news.
   Duration prove_every{std::chrono::milliseconds(1500)};
   Duration pause{0};  ///< after changes, so that one call brings several
+  /// Hosts that hear of each other's proofs ask at different times; 0 to 1.
+  double phase = 1.0;
 };
 
 /// @brief What a watch tells its owner.
@@ -27,6 +39,7 @@
   std::function<void(Instant, std::vector<ObjectRecord>)> replace;
   /// One object was changed or removed.
   std::function<void(Instant, const ObjectRecord&)> change;
+  std::function<void(Instant)> proved;  ///< by a call of this host
 };
 
 /// @brief Lists a kind, then watches it; lists anew when the store's history
@@ -47,6 +60,22 @@
   /// @brief Lets time pass.
   void Tick(Instant now);
 
+  /// @brief Another host made a linearizable call. What it showed counts once
+  /// this watch has all changes that the call would have brought.
+  /// @param proof with `asked_at` no later than the call by this host's clock
+  void TakeProof(const KindProof& proof);
+
+  /// @return what the last linearizable call of this host showed
+  const std::optional<KindProof>& Proof() const { return this->proof; }
+
+  const std::string& Kind() const { return this->settings.kind; }
+
+  /// @brief Others rely on this host's proofs: it asks before they would.
+  void SetLeads(bool value) { this->leads = value; }
+
+  /// @brief Sets the pause after changes.
+  void SetPause(Duration value) { this->settings.pause = value; }
+
   /// @return when Tick is due
   Instant NextWakeup() const { return this->next_call; }
 
@@ -65,6 +94,8 @@
   void Call(Instant now);
   void TakePage(Instant now, StoreResult* result);
   void TakeChanges(Instant now, StoreResult* result);
+  void Prove(Instant now, Instant asked_at, std::uint64_t at);
+  Instant ProofDue() const;
 
   KindWatchSettings settings;
   KindWatchHooks hooks;
@@ -75,7 +106,11 @@
   bool known = false;
   std::vector<ObjectRecord> pages;
   std::string after;
-  std::uint64_t revision = 0;
+  std::uint64_t revision = 0;    ///< nothing up to here is missing
+  std::uint64_t changed_at = 0;  ///< of the last answer that brought changes
+  std::optional<KindProof> proof;
+  std::optional<KindProof> unmatched;  ///< of another host; changes are missing
+  bool leads = false;
   Instant list_began{};  ///< of the first page that was answered
   Instant fresh_at{};
   Instant next_call = kNever;
--- a/src/discovery/kind_watch.cc
+++ b/src/discovery/kind_watch.cc
@@ -11,6 +11,10 @@
 constexpr Duration kAfterFailure = std::chrono::milliseconds(50);
 // Of a call that is to be answered at once.
 constexpr Duration kNoWait = std::chrono::milliseconds(1);
+// Parts of the time between proofs: a leading host's next proof reaches the
+// others, with the age that it has there, before they ask themselves.
+constexpr double kLeadingPart = 0.6;
+constexpr double kEarliestPart = 0.85;
 
 }  // namespace
 
@@ -27,7 +31,7 @@
     this->op = this->client->ListRecords(now, this->settings.kind, this->after);
     return;
   }
-  const Duration left = this->fresh_at + this->settings.prove_every - now;
+  const Duration left = this->ProofDue() - now;
   this->proving = left <= kNoWait;
   this->op =
       this->client->WatchKind(now, this->settings.kind, this->revision,
@@ -62,6 +66,7 @@
   if (this->after.empty()) {
     this->list_began = result->asked_at;
     this->revision = result->revision;  // changes during later pages come again
+    this->changed_at = result->revision;
   }
   std::move(result->records.begin(), result->records.end(),
             std::back_inserter(this->pages));
@@ -75,17 +80,24 @@
   this->after.clear();
   this->fresh_at = this->list_began;
   this->hooks.replace(now, std::exchange(this->pages, {}));
+  this->Prove(now, this->list_began, this->revision);
   this->Call(now);
 }
 
 void KindWatch::TakeChanges(Instant now, StoreResult* result) {
-  if (this->proving) {
-    this->fresh_at = std::max(this->fresh_at, result->asked_at);
-  }
   this->revision = std::max(this->revision, result->revision);
+  if (!result->records.empty()) {
+    this->changed_at = std::max(this->changed_at, result->revision);
+  }
   for (const ObjectRecord& record : result->records) {
     this->hooks.change(now, record);
   }
+  if (this->proving) {
+    this->Prove(now, result->asked_at, result->revision);
+  }
+  if (this->unmatched.has_value()) {
+    this->TakeProof(*std::exchange(this->unmatched, std::nullopt));
+  }
   if (result->records.empty() || this->settings.pause <= Duration{0}) {
     this->Call(now);
   } else {
@@ -93,6 +105,38 @@
   }
 }
 
+void KindWatch::Prove(Instant now, Instant asked_at, std::uint64_t at) {
+  this->fresh_at = std::max(this->fresh_at, asked_at);
+  this->proof = {this->settings.kind, this->changed_at, at, asked_at};
+  this->hooks.proved(now);
+}
+
+Instant KindWatch::ProofDue() const {
+  const double part = this->leads ? kLeadingPart
+                                  : kEarliestPart + (1.0 - kEarliestPart) *
+                                                        this->settings.phase;
+  return this->fresh_at +
+         FromSeconds(part * ToSeconds(this->settings.prove_every));
+}
+
+void KindWatch::TakeProof(const KindProof& proof) {
+  const bool news =
+      this->known && !this->listing && proof.asked_at > this->fresh_at;
+  if (!news) {
+    return;
+  }
+  if (this->revision < proof.changed_at) {
+    const bool newer = !this->unmatched.has_value() ||
+                       this->unmatched->asked_at < proof.asked_at;
+    if (newer) {
+      this->unmatched = proof;
+    }
+    return;
+  }
+  this->fresh_at = proof.asked_at;
+  this->revision = std::max(this->revision, proof.revision);
+}
+
 void KindWatch::Tick(Instant now) {
   if (this->next_call <= now) {
     this->Call(now);
--- a/src/discovery/tests/kind_watch_test.cc
+++ b/src/discovery/tests/kind_watch_test.cc
@@ -52,7 +52,8 @@
                },
                [this](Instant, const ObjectRecord& record) {
                  this->changed += record.name;
-               }},
+               },
+               [this](Instant) { ++this->proved; }},
               &this->client) {
     this->watch.Start(this->now);
   }
@@ -107,6 +108,7 @@
   std::string listed;
   std::string changed;
   int lists = 0;
+  int proved = 0;
   KindWatch watch;
   HttpCall waiting;
 };
@@ -170,6 +172,54 @@
   CHECK(this->lists == 2);
 }
 
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, another host proves what is known here, is as "
+                 "fresh as that host's call",
+                 "[discovery]") {
+  this->Answer(200, "7:a");
+  this->Pass(milliseconds(800));
+  this->watch.TakeProof({"workers", 7, 12, this->now - milliseconds(100)});
+  CHECK(this->watch.Age(this->now) == milliseconds(100));
+  CHECK(this->proved == 1);  // the list was the only call of this host
+}
+
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, another host proves changes that are missing "
+                 "here, is fresh only when they have come",
+                 "[discovery]") {
+  this->Answer(200, "7:a");
+  this->Pass(milliseconds(500));
+  const Instant asked_at = this->now - milliseconds(50);
+  this->watch.TakeProof({"workers", 9, 12, asked_at});
+  CHECK(this->watch.Age(this->now) == milliseconds(500));
+  this->Answer(200, "8:b");
+  CHECK(this->watch.Age(this->now) == milliseconds(500));
+  this->Pass(milliseconds(100));
+  this->Answer(200, "9:c");
+  CHECK(this->changed == "bc");
+  CHECK(this->watch.Age(this->now) == this->now - asked_at);
+}
+
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, an older proof comes, makes nothing older",
+                 "[discovery]") {
+  this->Answer(200, "7:a");
+  this->Pass(milliseconds(300));
+  this->watch.TakeProof({"workers", 7, 8, this->now - seconds(5)});
+  CHECK(this->watch.Age(this->now) == milliseconds(300));
+}
+
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, others rely on its proofs, asks before they "
+                 "would",
+                 "[discovery]") {
+  this->watch.SetLeads(true);
+  this->Answer(200, "7:a");
+  this->Pass(milliseconds(600));
+  this->Answer(200, "7:");
+  CHECK(this->Asked() == "http://store/watch?from=7");
+}
+
 TEST_CASE_METHOD(KindWatchFixture,
                  "kind watch, call cut, goes on from the same revision and is "
                  "no fresher",
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -49,6 +49,10 @@
 
  private:
   NeighbourHooks MakeNeighbourHooks();
+  /// @return a part of one, different for each host
+  double Phase() const;
+  /// @brief Spreads the reading of the store over hosts that hear each other.
+  void ShareReading();
   void TakeResults(Instant now);
   Actions Collect(Instant now);
   void TakeDeployment(Instant now, const ObjectRecord& record);
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -14,6 +14,9 @@
 // Registrations change several times a second while workers are replaced; one
 // call then brings several changes. Far below the bound on leaving workers.
 constexpr Duration kWorkersPause = std::chrono::milliseconds(20);
+// Each of several hosts pauses longer, as one of them reads at any time; new
+// workers may wait this long for their first request.
+constexpr Duration kLongestWorkersPause = std::chrono::milliseconds(400);
 // After the balancer's two missed checks, one a second, and a margin.
 constexpr Duration kAcceptWhileDraining = std::chrono::milliseconds(3000);
 // Between the last cut request and the platform's SIGKILL.
@@ -30,7 +33,7 @@
            FromSeconds(kProveDeployment *
                        ToSeconds(std::min(this->settings.bounds.apply,
                                           this->settings.bounds.revocation))),
-           Duration{0}},
+           Duration{0}, this->Phase()},
           {[this](Instant now, std::vector<ObjectRecord> records) {
              for (const ObjectRecord& record : records) {
                this->TakeDeployment(now, record);
@@ -38,12 +41,13 @@
            },
            [this](Instant now, const ObjectRecord& record) {
              this->TakeDeployment(now, record);
-           }},
+           },
+           [this](Instant now) { this->neighbours.NoteProof(now); }},
           &this->store),
       workers(
           {this->codec.worker_kind,
            FromSeconds(kProveWorkers * ToSeconds(this->settings.bounds.drain)),
-           kWorkersPause},
+           kWorkersPause, this->Phase()},
           {[this](Instant now, std::vector<ObjectRecord> records) {
              std::vector<UpstreamId> listed;
              listed.reserve(records.size());
@@ -55,7 +59,8 @@
            },
            [this](Instant now, const ObjectRecord& record) {
              this->TakeWorker(now, record);
-           }},
+           },
+           [this](Instant now) { this->neighbours.NoteProof(now); }},
           &this->store),
       forwarding(
           this->settings, this->codec,
@@ -92,6 +97,23 @@
     this->Log(LogLevel::kInfo, "neighbour lost", {{"neighbour", host.value}});
     this->forwarding.Loads().ForgetHost(host);
   };
+  hooks.proofs = [this](Instant now) {
+    std::vector<ToldProof> proofs;
+    for (const KindWatch* watch : {&this->deployments, &this->workers}) {
+      if (const std::optional<KindProof>& proof = watch->Proof()) {
+        proofs.push_back({proof->kind, proof->changed_at, proof->revision,
+                          now - proof->asked_at});
+      }
+    }
+    return proofs;
+  };
+  hooks.take_proof = [this](Instant asked_at, const ToldProof& told) {
+    for (KindWatch* watch : {&this->deployments, &this->workers}) {
+      if (watch->Kind() == told.kind) {
+        watch->TakeProof({told.kind, told.changed_at, told.revision, asked_at});
+      }
+    }
+  };
   hooks.domain_loads = [this] {
     return this->forwarding.Loads().DomainLoads();
   };
@@ -112,6 +134,22 @@
   return hooks;
 }
 
+double GatewayHost::Phase() const {
+  constexpr std::uint64_t kSteps = 1024;
+  return static_cast<double>(StableHash(this->settings.self.value) % kSteps) /
+         static_cast<double>(kSteps);
+}
+
+void GatewayHost::ShareReading() {
+  const bool leads = this->neighbours.Leads();
+  this->deployments.SetLeads(leads);
+  this->workers.SetLeads(leads);
+  // Whoever reads of a leaving worker first tells the others.
+  this->workers.SetPause(std::min(
+      kLongestWorkersPause,
+      kWorkersPause * (1 + static_cast<int>(this->neighbours.Count()))));
+}
+
 void GatewayHost::Log(LogLevel level, std::string message,
                       std::vector<LogField> fields) {
   this->actions.emplace_back(
@@ -160,6 +198,7 @@
   this->directory.Tick(now);
   this->forwarding.Tick(now);
   this->neighbours.Tick(now);
+  this->ShareReading();
   return this->Collect(now);
 }
 
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -39,6 +39,14 @@
   std::vector<OwnLoad> loads;
 };
 
+/// @brief A linearizable call of a host, as it tells others.
+struct ToldProof {
+  std::string kind;
+  std::uint64_t changed_at = 0;  ///< no change of the kind lies between this
+  std::uint64_t revision = 0;    ///< and this revision
+  Duration age{0};               ///< since the call left
+};
+
 /// @brief A host's whole state as its neighbours need it. Each message replaces
 /// the one before, so that a lost datagram costs its own news only.
 struct NeighbourMessage {
@@ -51,7 +59,14 @@
   std::vector<LeavingWorker> leaving;
   std::vector<NeighbourAddress> neighbours;  ///< the answer to a question
   std::vector<DomainContact> contacts;       ///< in the same answer
-  std::optional<DomainLoads> domain_loads;   ///< of a domain, not of the host
+  /// The sender's clock; only the sender reads it again, in `echo`.
+  std::int64_t sent_at_ms = 0;
+  /// The receiver's clock in its last message that the sender has. Ages in
+  /// this message are no older than that by the receiver's clock, however long
+  /// the message was on its way and whoever was frozen meanwhile.
+  std::optional<std::int64_t> echo_ms;
+  std::vector<ToldProof> proofs;
+  std::optional<DomainLoads> domain_loads;  ///< of a domain, not of the host
 };
 
 /// @brief Writes a message as CBOR.
--- a/src/neighbours/detail/neighbours.h
+++ b/src/neighbours/detail/neighbours.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,10 @@
   std::function<void(const HostId&)> found;   ///< a neighbour was heard of
   std::function<void(const HostId&)> forget;  ///< a neighbour fell silent
   std::function<void(Instant, const LeavingWorker&)> take_leaving;
+  /// Linearizable calls of this host.
+  std::function<std::vector<ToldProof>(Instant)> proofs;
+  /// One of a neighbour; it left no earlier than the instant, by this clock.
+  std::function<void(Instant, const ToldProof&)> take_proof;
   /// What all hosts of the own failure domain have at the workers.
   std::function<std::vector<OwnLoad>()> domain_loads;
   /// The same of another failure domain; replaces what was told before.
@@ -55,6 +60,12 @@
   /// @brief The own state changed; neighbours are told with the next Tick.
   void NoteChange(Instant now);
 
+  /// @brief A linearizable call of this host was answered.
+  void NoteProof(Instant now) { this->next_proofs = now; }
+
+  /// @return whether this host speaks for others: it has the lowest id
+  bool Leads() const { return !this->known.empty() && this->Speaks(); }
+
   /// @brief This host noticed that a worker leaves; others are told.
   void NoteLeaving(Instant now, const LeavingWorker& worker);
 
@@ -69,6 +80,7 @@
     std::string address;
     std::uint64_t sequence = 0;
     Instant heard{};
+    std::optional<std::int64_t> clock_ms;  ///< its own, in its last message
   };
   struct Elsewhere {
     FailureDomainId domain;
@@ -85,12 +97,14 @@
     bool heard = false;  ///< from a neighbour, who tells the others itself
   };
 
-  NeighbourMessage Make(bool asks);
+  NeighbourMessage Make(Instant now, bool asks);
+  void TellProofs(Instant now);
+  void TakeProofs(Instant now, const NeighbourMessage& message);
   /// @param heard those that neighbours told of, too
   std::vector<LeavingWorker> Leaving(Instant now, bool heard) const;
   void HearLeaving(Instant now, const LeavingWorker& worker);
   void SendTo(const std::string& address, const NeighbourMessage& message);
-  void Answer(const NeighbourMessage& question);
+  void Answer(Instant now, const NeighbourMessage& question);
   void TakeContact(Instant now, const DomainContact& contact);
   void TakeDomain(Instant now, const NeighbourMessage& message);
   void TellDomains(Instant now);
@@ -109,6 +123,8 @@
   Instant next_state{};
   Instant next_question{};
   Instant next_domains{};
+  Instant next_proofs = kNever;
+  std::optional<Instant> began;  ///< first message of this start
   Instant last_state{};
   Actions actions;
 };
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -65,6 +65,30 @@
   return rows;
 }
 
+Json EncodeProofs(const std::vector<ToldProof>& proofs) {
+  Json rows = Json::array();
+  for (const ToldProof& proof : proofs) {
+    // Rounded up: a proof must not look younger than it is.
+    const std::int64_t age_ms =
+        std::chrono::ceil<std::chrono::milliseconds>(proof.age).count();
+    rows.push_back({proof.kind, proof.changed_at, proof.revision, age_ms});
+  }
+  return rows;
+}
+
+std::vector<ToldProof> ReadProofs(const Json& root, Reader* reader) {
+  std::vector<ToldProof> proofs;
+  for (const Json& row : reader->Rows(root, "proofs", 4)) {
+    ToldProof proof;
+    proof.kind = reader->Text(row[0]);
+    proof.changed_at = reader->Number(row[1], UINT64_MAX);
+    proof.revision = reader->Number(row[2], UINT64_MAX);
+    proof.age = std::chrono::milliseconds(reader->Number(row[3], kMaxAgeMs));
+    proofs.push_back(std::move(proof));
+  }
+  return proofs;
+}
+
 std::vector<OwnLoad> ReadLoads(const Json& root, const char* member,
                                Reader* reader) {
   std::vector<OwnLoad> loads;
@@ -101,12 +125,20 @@
     contacts.push_back(
         {contact.domain.value, contact.host.host.value, contact.host.address});
   }
-  Json root = {
-      {"host", message.host.value},     {"domain", message.domain.value},
-      {"address", message.address},     {"sequence", message.sequence},
-      {"asks", message.asks},           {"shares", EncodeLoads(message.shares)},
-      {"leaving", std::move(leaving)},  {"neighbours", std::move(neighbours)},
-      {"contacts", std::move(contacts)}};
+  Json root = {{"host", message.host.value},
+               {"domain", message.domain.value},
+               {"address", message.address},
+               {"sequence", message.sequence},
+               {"asks", message.asks},
+               {"shares", EncodeLoads(message.shares)},
+               {"leaving", std::move(leaving)},
+               {"neighbours", std::move(neighbours)},
+               {"contacts", std::move(contacts)},
+               {"sent_at_ms", message.sent_at_ms}};
+  if (message.echo_ms.has_value()) {
+    root["echo_ms"] = *message.echo_ms;
+    root["proofs"] = EncodeProofs(message.proofs);
+  }
   if (message.domain_loads.has_value()) {
     root["loads_of"] = message.domain_loads->domain.value;
     root["loads"] = EncodeLoads(message.domain_loads->loads);
@@ -156,6 +188,17 @@
         {FailureDomainId{reader.Text(row[0])},
          {HostId{reader.Text(row[1])}, reader.Text(row[2])}});
   }
+  const auto sent_at = root.find("sent_at_ms");
+  reader.sound =
+      reader.sound && sent_at != root.end() && sent_at->is_number_integer();
+  if (reader.sound) {
+    message.sent_at_ms = sent_at->get<std::int64_t>();
+  }
+  if (const auto echo = root.find("echo_ms"); echo != root.end()) {
+    reader.sound = reader.sound && echo->is_number_integer();
+    message.echo_ms = reader.sound ? echo->get<std::int64_t>() : 0;
+    message.proofs = ReadProofs(root, &reader);
+  }
   if (root.contains("loads_of")) {
     message.domain_loads =
         DomainLoads{FailureDomainId{reader.Text(root["loads_of"])},
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -24,10 +24,18 @@
 constexpr std::size_t kMostNeighbours = 64;
 constexpr std::size_t kMostAskers = 2048;
 
+std::int64_t InMilliseconds(Instant at) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             at.time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
-NeighbourMessage Neighbours::Make(bool asks) {
+NeighbourMessage Neighbours::Make(Instant now, bool asks) {
+  this->began = this->began.value_or(now);
   NeighbourMessage message;
+  message.sent_at_ms = InMilliseconds(now);
   message.host = this->settings.self;
   message.domain = this->settings.domain;
   message.address = this->settings.address;
@@ -42,8 +50,8 @@
       PeerSend{HostId{}, address, EncodeNeighbourMessage(message)});
 }
 
-void Neighbours::Answer(const NeighbourMessage& question) {
-  NeighbourMessage answer = this->Make(false);
+void Neighbours::Answer(Instant now, const NeighbourMessage& question) {
+  NeighbourMessage answer = this->Make(now, false);
   std::set<FailureDomainId> named = {question.domain};
   if (question.domain != this->settings.domain) {
     named.insert(this->settings.domain);
@@ -79,14 +87,14 @@
   if (message.asks && this->asked_here.size() < kMostAskers) {
     this->asked_here[message.host] = {message.domain, message.address, now};
     this->TakeContact(now, {message.domain, {message.host, message.address}});
-    this->Answer(message);
+    this->Answer(now, message);
   }
   for (const NeighbourAddress& neighbour : message.neighbours) {
     const bool is_new = neighbour.host != this->settings.self &&
                         this->known.count(neighbour.host) == 0 &&
                         this->known.size() < kMostNeighbours;
     if (is_new) {
-      this->known[neighbour.host] = {neighbour.address, 0, now};
+      this->known[neighbour.host] = {neighbour.address, 0, now, std::nullopt};
       this->hooks.found(neighbour.host);
       this->next_state = std::min(this->next_state, now);
     }
@@ -114,7 +122,9 @@
   const bool old = !restarted && message.sequence <= sender.sequence &&
                    message.sequence + kMostNeighbours > sender.sequence;
   sender.heard = now;
-  if (old) {
+  sender.clock_ms = message.sent_at_ms;
+  this->TakeProofs(now, message);
+  if (old || message.echo_ms.has_value()) {
     return true;  // overtaken on its way
   }
   sender.address = message.address;
@@ -161,7 +171,7 @@
   if (message.domain == this->settings.domain) {
     return;
   }
-  NeighbourMessage relayed = this->Make(false);
+  NeighbourMessage relayed = this->Make(now, false);
   relayed.domain_loads = told;
   relayed.leaving = message.leaving;
   for (const auto& [host, neighbour] : this->known) {
@@ -169,6 +179,35 @@
   }
 }
 
+void Neighbours::TellProofs(Instant now) {
+  this->next_proofs = kNever;
+  for (const auto& [host, neighbour] : this->known) {
+    if (!neighbour.clock_ms.has_value()) {
+      continue;
+    }
+    NeighbourMessage message = this->Make(now, false);
+    message.echo_ms = neighbour.clock_ms;
+    message.proofs = this->hooks.proofs(now);
+    this->SendTo(neighbour.address, message);
+  }
+}
+
+void Neighbours::TakeProofs(Instant now, const NeighbourMessage& message) {
+  if (!message.echo_ms.has_value() || !this->began.has_value()) {
+    return;
+  }
+  // A clock that this start did not send is one of an earlier start.
+  const Instant echoed{std::chrono::milliseconds(*message.echo_ms)};
+  const bool mine =
+      *message.echo_ms >= InMilliseconds(*this->began) && echoed <= now;
+  if (!mine) {
+    return;
+  }
+  for (const ToldProof& proof : message.proofs) {
+    this->hooks.take_proof(echoed - proof.age, proof);
+  }
+}
+
 bool Neighbours::Speaks() const {
   return this->known.empty() ||
          this->settings.self < this->known.begin()->first;
@@ -179,7 +218,7 @@
   if (this->contacts.empty() || !this->Speaks()) {
     return;
   }
-  NeighbourMessage message = this->Make(false);
+  NeighbourMessage message = this->Make(now, false);
   message.domain_loads =
       DomainLoads{this->settings.domain, this->hooks.domain_loads()};
   message.leaving = this->Leaving(now, true);
@@ -260,7 +299,7 @@
     this->next_question = now + (alone ? kQuestionEvery : kQuestionEveryKnown);
     for (const std::string& seed : this->settings.seeds) {
       if (seed != this->settings.address) {
-        this->SendTo(seed, this->Make(true));
+        this->SendTo(seed, this->Make(now, true));
       }
     }
     for (auto it = this->asked_here.begin(); it != this->asked_here.end();) {
@@ -271,6 +310,9 @@
   if (this->next_domains <= now) {
     this->TellDomains(now);
   }
+  if (this->next_proofs <= now) {
+    this->TellProofs(now);
+  }
   if (this->next_state > now) {
     return;
   }
@@ -280,7 +322,7 @@
   if (this->known.empty()) {
     return;
   }
-  NeighbourMessage message = this->Make(false);
+  NeighbourMessage message = this->Make(now, false);
   message.shares = this->hooks.shares();
   message.leaving = this->Leaving(now, false);
   for (const auto& [host, neighbour] : this->known) {
@@ -291,8 +333,8 @@
 Instant Neighbours::NextWakeup() const {
   return this->settings.address.empty()
              ? kNever
-             : std::min(
-                   {this->next_state, this->next_question, this->next_domains});
+             : std::min({this->next_state, this->next_question,
+                         this->next_domains, this->next_proofs});
 }
 
 }  // namespace limpetlink
--- a/src/neighbours/tests/neighbours_test.cc
+++ b/src/neighbours/tests/neighbours_test.cc
@@ -17,6 +17,8 @@
     std::vector<OwnLoad> shares;
     std::map<std::string, std::uint32_t> running;    ///< as told by others
     std::map<std::string, std::uint32_t> elsewhere;  ///< by domain
+    Instant proved_at{};
+    Instant proof_from{};  ///< of another host's call, by this clock
     std::vector<std::string> leaving;
     bool down = false;
   };
@@ -43,6 +45,16 @@
     hooks.take_leaving = [&member](Instant, const LeavingWorker& worker) {
       member.leaving.push_back(worker.worker.value);
     };
+    hooks.proofs = [&member](Instant now) {
+      std::vector<ToldProof> proofs;
+      if (member.proved_at != Instant{}) {
+        proofs.push_back({"workers", 5, 9, now - member.proved_at});
+      }
+      return proofs;
+    };
+    hooks.take_proof = [&member](Instant asked_at, const ToldProof&) {
+      member.proof_from = asked_at;
+    };
     hooks.domain_loads = [&member] { return member.shares; };
     hooks.take_domain_loads = [&member](Instant, const DomainLoads& told) {
       std::uint32_t sum = 0;
@@ -151,6 +163,45 @@
   CHECK(west.elsewhere.empty());
 }
 
+TEST_CASE(
+    "neighbours, a host proves its knowledge, neighbours learn it no younger "
+    "than it is",
+    "[neighbours]") {
+  Group group;
+  Group::Member& seed = group.Add("seed-1", "east");
+  Group::Member& host = group.Add("host", "east");
+  group.Pass(seconds(3));
+  host.proved_at = group.now - milliseconds(30);
+  host.host->NoteProof(group.now);
+  group.Pass(milliseconds(50));
+  CHECK(seed.proof_from <= host.proved_at);
+  CHECK(seed.proof_from > host.proved_at - seconds(2));
+}
+
+TEST_CASE(
+    "neighbours, a host is frozen while a proof is on its way, takes it for "
+    "as old as it is",
+    "[neighbours]") {
+  Group group;
+  Group::Member& seed = group.Add("seed-1", "east");
+  Group::Member& host = group.Add("host", "east");
+  group.Pass(seconds(3));
+  host.proved_at = group.now;
+  host.host->NoteProof(group.now);
+  host.host->Tick(group.now);
+  const Actions sent = host.host->TakeActions();
+  group.now += seconds(60);  // the frozen host's clock goes on
+  for (const Action& action : sent) {
+    const auto* datagram = std::get_if<PeerSend>(&action);
+    REQUIRE(datagram != nullptr);
+    if (datagram->address == "seed-1") {
+      seed.host->OnFrame(group.now, {HostId{"host"}, datagram->bytes});
+    }
+  }
+  CHECK(seed.proof_from != Instant{});
+  CHECK(seed.proof_from <= host.proved_at);
+}
+
 TEST_CASE("neighbours, a fifth of the datagrams lost, states still arrive",
           "[neighbours]") {
   Group group;
