Move streams again that had to go on at a leaving worker; keep streams near

Cause, from the copies logged for single leaving workers: an order for the last part that found no room left the stream to go on at its source, from which nothing moved it again; copies in progress were not counted at their destinations; and half of the streams ran outside their callers' failure domain, where they cannot share one order of copies.

Tried and reverted: destinations by load alone.

Change: a stream that went on at its source moves again to another worker; a copy's room is counted at its destination while it is made; a worker in another domain must save 0.3 s, in another region 0.9 s (before 0.1 and 0.4).

--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -40,7 +40,9 @@
   MovePhase phase = MovePhase::kScheduled;
   UpstreamId source;
   std::string source_address;
+  FailureDomainId source_domain;
   UpstreamId destination;
+  bool reserved = false;            ///< counted at the destination
   std::vector<UpstreamId> refused;  ///< had no room
   CallId call;                      ///< the order in progress
   int status = 0;
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -131,7 +131,11 @@
                    const std::string& address,
                    std::optional<ResumeTerms> resume) const;
   std::vector<LoadCandidate> Candidates(const Forwarded& flow) const;
-  Distance DistanceTo(const FailureDomainId& domain) const;
+  Distance DistanceTo(const FailureDomainId& domain) const {
+    return this->DistanceBetween(this->settings.failure_domain, domain);
+  }
+  Distance DistanceBetween(const FailureDomainId& from,
+                           const FailureDomainId& to) const;
 
   // Moves; in forwarding_moves.cc.
   void AskReport(const WorkerRegistration& worker, bool leaving,
@@ -145,6 +149,9 @@
   void TakeReport(Instant now, const ReportCall& call);
   void ScheduleMove(Instant now, Forwarded* flow, const ReportCall& call,
                     const UpstreamId& destination, Instant due);
+  /// @brief A stream had to go on at its leaving worker.
+  void MoveAgain(Instant now, Forwarded* flow, const StreamMove& before);
+  void ReleaseRoom(Instant now, Forwarded* flow);
   void StepMove(Instant now, Forwarded* flow);
   bool ChooseDestination(Instant now, Forwarded* flow);
   void OrderCopy(Instant now, Forwarded* flow, bool last);
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -175,17 +175,17 @@
 
 // ---- Sending ----
 
-Distance Forwarding::DistanceTo(const FailureDomainId& domain) const {
-  const FailureDomainId& here = this->settings.failure_domain;
-  if (domain == here) {
+Distance Forwarding::DistanceBetween(const FailureDomainId& from,
+                                     const FailureDomainId& to) const {
+  if (from == to) {
     return Distance::kSameDomain;
   }
   const auto region = [this](const FailureDomainId& of) {
     const auto found = this->settings.region_of.find(of.value);
     return found == this->settings.region_of.end() ? of.value : found->second;
   };
-  return region(domain) == region(here) ? Distance::kSameRegion
-                                        : Distance::kOtherRegion;
+  return region(from) == region(to) ? Distance::kSameRegion
+                                    : Distance::kOtherRegion;
 }
 
 std::vector<LoadCandidate> Forwarding::Candidates(const Forwarded& flow) const {
--- a/src/gateway/forwarding_moves.cc
+++ b/src/gateway/forwarding_moves.cc
@@ -246,6 +246,7 @@
   StreamMove move;
   move.source = call.worker.id;
   move.source_address = call.worker.address;
+  move.source_domain = call.worker.domain;
   move.destination = destination;
   move.noticed = call.noticed;
   flow->move = std::move(move);
@@ -268,32 +269,50 @@
 
 bool Forwarding::ChooseDestination(Instant now, Forwarded* flow) {
   StreamMove& move = *flow->move;
-  const auto refused = [&move](const UpstreamId& worker) {
-    return std::find(move.refused.begin(), move.refused.end(), worker) !=
-           move.refused.end();
-  };
-  const WorkerRegistration* planned = this->directory->Find(move.destination);
-  const bool usable =
-      planned != nullptr && !planned->draining && !refused(move.destination);
-  if (usable) {
-    return true;
-  }
   std::vector<LoadCandidate> candidates = this->Candidates(*flow);
-  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                                  [&](const LoadCandidate& candidate) {
-                                    return refused(candidate.worker) ||
-                                           candidate.worker == move.source;
-                                  }),
-                   candidates.end());
+  const auto unusable = [&move](const LoadCandidate& candidate) {
+    return candidate.worker == move.source ||
+           std::find(move.refused.begin(), move.refused.end(),
+                     candidate.worker) != move.refused.end();
+  };
+  candidates.erase(
+      std::remove_if(candidates.begin(), candidates.end(), unusable),
+      candidates.end());
+  for (LoadCandidate& candidate : candidates) {
+    // A copy takes longer the farther it goes from its source.
+    candidate.distance =
+        this->DistanceBetween(move.source_domain, candidate.domain);
+  }
+  // The plan gives each copy a link of its own; it holds while there is room.
+  const auto planned = std::find_if(candidates.begin(), candidates.end(),
+                                    [&move](const LoadCandidate& each) {
+                                      return each.worker == move.destination;
+                                    });
+  if (planned != candidates.end()) {
+    candidates = {*planned};
+  }
+  const RequestSize copy{0, flow->size.tokens};
   const std::optional<LoadChoice> choice =
-      this->loads.Choose(now, candidates, flow->size);
+      this->loads.Choose(now, candidates, copy);
   if (!choice.has_value()) {
     return false;
   }
   move.destination = choice->worker;
+  move.reserved = true;  // neighbours see the room as taken
+  this->loads.Begin(now, move.destination, copy);
+  this->hooks.loads_changed(now);
   return true;
 }
 
+void Forwarding::ReleaseRoom(Instant now, Forwarded* flow) {
+  StreamMove& move = *flow->move;
+  if (!std::exchange(move.reserved, false)) {
+    return;
+  }
+  this->loads.End(now, move.destination, {0, flow->size.tokens}, false);
+  this->hooks.loads_changed(now);
+}
+
 void Forwarding::OrderCopy(Instant now, Forwarded* flow, bool last) {
   StreamMove& move = *flow->move;
   if (!last && !this->ChooseDestination(now, flow)) {
@@ -328,6 +347,7 @@
 }
 
 void Forwarding::RetryMove(Instant now, Forwarded* flow, Duration pause) {
+  this->ReleaseRoom(now, flow);
   StreamMove& move = *flow->move;
   move.phase = MovePhase::kScheduled;
   if (++move.tries <= kMostTries) {
@@ -421,6 +441,7 @@
 }
 
 void Forwarding::Resume(Instant now, Forwarded* flow) {
+  this->ReleaseRoom(now, flow);
   const StreamMove move = *std::move(flow->move);
   flow->move.reset();
   this->CancelAttempts(now, flow, false);
@@ -456,12 +477,30 @@
       this->CallFor(now, *flow, attempt, worker->address,
                     ResumeTerms{move.source_address, move.handle, *last}));
   flow->running.push_back(std::move(attempt));
+  if (move.at_source) {
+    this->MoveAgain(now, flow, move);
+  }
+}
+
+void Forwarding::MoveAgain(Instant now, Forwarded* flow,
+                           const StreamMove& before) {
+  StreamMove move;
+  move.source = before.source;
+  move.source_address = before.source_address;
+  move.source_domain = before.source_domain;
+  move.refused = before.refused;
+  move.refused.push_back(before.destination);
+  move.noticed = before.noticed;
+  flow->move = std::move(move);
+  this->timers.insert(
+      {now + kNotBegunPause, flow->request.id.value, TimerKind::kMove});
 }
 
 void Forwarding::AbandonMove(Instant now, Forwarded* flow) {
   if (!flow->move.has_value()) {
     return;
   }
+  this->ReleaseRoom(now, flow);
   const StreamMove move = *std::move(flow->move);
   flow->move.reset();
   this->timers.erase({now, flow->request.id.value, TimerKind::kMove});
--- a/src/gateway/tests/streams_test.cc
+++ b/src/gateway/tests/streams_test.cc
@@ -195,6 +195,26 @@
   CHECK(orders <= 6);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+                 "stream move, last part finds no room, goes on at its source "
+                 "and moves again to another worker",
+                 "[gateway]") {
+  this->Register("engine-3", "engines");
+  const HttpCall copy = this->LeaveAndCopy();
+  this->Answer(copy, 200, "h1");
+  const HttpCall finish = this->Order("/finish");
+  this->Done(this->call, HttpEnd::kCut);
+  this->Answer(finish, 503, "h2");
+  const HttpCall resumed = this->Order("/stream/7?a=%20b");
+  CHECK(HeaderOf(resumed.headers, "worker") == this->source);
+  this->Head(resumed, 200);
+  this->Bytes(resumed, "id: 2\n\n");
+  this->Pass(milliseconds(60));
+  const HttpCall again = this->Order("/copy");
+  CHECK(again.url.find(this->source) != std::string::npos);
+  CHECK(again.body != copy.body);  // names another destination
+}
+
 TEST_CASE_METHOD(StreamFixture,
                  "stream move, run has not begun, is asked again shortly",
                  "[gateway]") {
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -35,8 +35,8 @@
 constexpr double kOtherRequestTokens = 3000.0;
 // A stream farther away is harder to save when its worker leaves, and what is
 // known of the load there is older.
-constexpr double kOtherDomainMs = 100.0;
-constexpr double kOtherRegionMs = 400.0;
+constexpr double kOtherDomainMs = 300.0;
+constexpr double kOtherRegionMs = 900.0;
 
 std::map<UpstreamId, OwnLoad> ByWorker(const std::vector<OwnLoad>& loads) {
   std::map<UpstreamId, OwnLoad> by_worker;
