Ask engines for their load less often where hosts tell each other

Change: the interval grows with the number of hosts that tell of their requests, to four times at most. A lone host asks as before.

--- a/src/gateway/forwarding_answers.cc
+++ b/src/gateway/forwarding_answers.cc
@@ -21,6 +21,10 @@
 // about as much. With more of them each is asked less often: more hosts ask.
 constexpr Duration kAskLoadsEvery = std::chrono::milliseconds(500);
 constexpr double kLoadsEachRound = 3.0;
+// Hosts that tell each other of their requests need reports less, and each
+// counts as a probe at its worker.
+constexpr double kHostsForOneMore = 3.0;
+constexpr double kRarestLoads = 4.0;
 // Retry-After: long enough to outlast a worker's replacement in part, spread
 // so that refused callers do not come back together, and at most a third of
 // what the caller has left.
@@ -423,7 +427,11 @@
     const std::size_t asked = this->AskLoads(now);
     const double rounds =
         std::max(1.0, static_cast<double>(asked) / kLoadsEachRound);
-    this->next_loads = now + FromSeconds(rounds * ToSeconds(kAskLoadsEvery));
+    const double rarer = std::min(
+        kRarestLoads, 1.0 + static_cast<double>(this->loads.HostsTelling()) /
+                                kHostsForOneMore);
+    this->next_loads =
+        now + FromSeconds(rounds * rarer * ToSeconds(kAskLoadsEvery));
   }
   while (!this->timers.empty() && this->timers.begin()->due <= now) {
     const Timer timer = *this->timers.begin();
--- a/src/routing/detail/load_table.h
+++ b/src/routing/detail/load_table.h
@@ -82,6 +82,9 @@
   /// @brief Another failure domain fell silent.
   void ForgetDomain(const FailureDomainId& domain);
 
+  /// @return hosts that tell of their own requests
+  std::size_t HostsTelling() const { return this->told.size(); }
+
   /// @return this host's own requests at the workers
   std::vector<OwnLoad> OwnLoads() const;
 
