Count log lines that are dropped while the output takes nothing

Cause: LineWriter bounded its queue and dropped further lines without a word, so an operator could not tell a gap from silence.

Ruled out: blocking the caller (a full pipe would stop requests); a metric alone (the log's reader would not see it).

Change: the queue's overflow rule counts; a warning "log lines dropped" with the number follows with the next line, at most once a second.

Before: 500 lines beyond the bound left no trace. After: telemetry_test, an output that takes nothing, tells 490 to 500 and holds no caller up.

--- a/src/telemetry/detail/line_writer.h
+++ b/src/telemetry/detail/line_writer.h
@@ -18,9 +18,9 @@
 };
 
 /// @brief Writes lines from a thread of its own. While the output takes
-/// nothing, at most
-///        LineWriter::kMaxQueuedLines wait and further ones are dropped. One
-///        writer a process.
+/// nothing, at most LineWriter::kMaxQueuedLines wait and further ones are
+/// dropped; a warning tells how many, at most once a second. One writer a
+/// process.
 /// @note Example:
 /// @code
 /// LineWriter writer(settings, std::cerr);
--- a/src/telemetry/line_writer.cc
+++ b/src/telemetry/line_writer.cc
@@ -3,10 +3,10 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
+#include <atomic>
 #include <ostream>
 
 #include "telemetry/telemetry.h"
@@ -15,11 +15,34 @@
 
 namespace log = boost::log;
 
+namespace {
+
+// Between two lines that tell of dropped ones.
+constexpr Duration kTellDropsEvery = std::chrono::seconds(1);
+
+/// @brief Drops a line when too many wait, and counts it.
+struct CountedDrops {
+  static std::atomic<std::uint64_t>& Count() {
+    static std::atomic<std::uint64_t> count{0};
+    return count;
+  }
+
+  template <typename Lock>
+  static bool on_overflow(const log::record_view& /*line*/, Lock& /*lock*/) {
+    Count().fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+}  // namespace
+
 class LineWriter::Impl {
  public:
   using Backend = log::sinks::text_ostream_backend;
   using Queue = log::sinks::bounded_fifo_queue<kMaxQueuedLines,
-                                               log::sinks::drop_on_overflow>;
+                                               CountedDrops>;
   using Sink = log::sinks::asynchronous_sink<Backend, Queue>;
 
   Impl(LineWriterSettings settings, std::ostream& output)
@@ -42,9 +65,30 @@
 
   void Write(const std::string& text) { BOOST_LOG(this->logger) << text; }
 
+  /// @brief Tells how many lines were dropped since it was told last.
+  void TellDrops(Instant now) {
+    const bool due =
+        CountedDrops::Count().load(std::memory_order_relaxed) > 0 &&
+        now >= this->next_tell.load(std::memory_order_relaxed);
+    if (!due) {
+      return;
+    }
+    this->next_tell.store(now + kTellDropsEvery, std::memory_order_relaxed);
+    const std::uint64_t dropped = CountedDrops::Count().exchange(0);
+    const LogLine line{LogLevel::kWarning,
+                       "log lines dropped",
+                       {{"lines", std::to_string(dropped)}}};
+    this->Write(RenderLog(line, this->settings.host,
+                          this->settings.clock.At(now)));
+    if (CountedDrops::Count().load() > 0) {
+      CountedDrops::Count().fetch_add(dropped);  // this line was dropped, too
+    }
+  }
+
   LineWriterSettings settings;
 
  private:
+  std::atomic<Instant> next_tell{Instant{}};
   log::sources::logger_mt logger;
   boost::shared_ptr<Sink> sink;
 };
@@ -58,6 +102,7 @@
   if (line.level >= settings.level) {
     this->impl->Write(RenderLog(line, settings.host, settings.clock.At(now)));
   }
+  this->impl->TellDrops(now);
 }
 
 void LineWriter::Write(const SpanRecord& span) {
--- a/src/telemetry/tests/telemetry_test.cc
+++ b/src/telemetry/tests/telemetry_test.cc
@@ -1,6 +1,8 @@
 #include "telemetry/telemetry.h"
 
 #include <catch2/catch.hpp>
+#include <condition_variable>
+#include <mutex>
 #include <sstream>
 
 using limpetlink::HostId;
@@ -34,6 +36,58 @@
         std::string::npos);
 }
 
+/// @brief Takes nothing until it is released.
+class StuckOutput : public std::stringbuf {
+ public:
+  void Release() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->released = true;
+    this->changed.notify_all();
+  }
+
+ protected:
+  std::streamsize xsputn(const char* bytes, std::streamsize size) override {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->changed.wait(lock, [this] { return this->released; });
+    return std::stringbuf::xsputn(bytes, size);
+  }
+
+ private:
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool released = false;
+};
+
+TEST_CASE(
+    "a line writer, output takes nothing, lines beyond the bound are dropped "
+    "and counted, and no caller waits") {
+  constexpr std::size_t kBeyond = 500;
+  StuckOutput buffer;
+  std::ostream output(&buffer);
+  {
+    limpetlink::LineWriter writer({HostId{"a"}, LogLevel::kInfo, {}}, output);
+    const LogLine line{LogLevel::kInfo, "request finished", {}};
+    for (std::size_t i = 0;
+         i < limpetlink::LineWriter::kMaxQueuedLines + kBeyond; ++i) {
+      writer.Write(line, Instant{});
+    }
+    buffer.Release();
+  }
+  {
+    limpetlink::LineWriter writer({HostId{"a"}, LogLevel::kInfo, {}}, output);
+    writer.Write(LogLine{LogLevel::kInfo, "later", {}},
+                 Instant{std::chrono::seconds(5)});
+  }
+  const std::string text = buffer.str();
+  const std::size_t told = text.find("log lines dropped");
+  REQUIRE(told != std::string::npos);
+  // The lines that the writing thread had taken may count as queued or not.
+  const std::size_t lines = text.find("\"lines\":\"", told);
+  const int dropped = std::stoi(text.substr(lines + 9));
+  CHECK(dropped >= 490);
+  CHECK(dropped <= 500);
+}
+
 TEST_CASE("a line writer, several levels, lines below its own are left out") {
   std::ostringstream output;
   {
