--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -228,11 +228,14 @@
   if (flow.holder != nullptr) {
     terms.organisation = flow.holder->organisation;
   }
-  if (flow.on_engine) {
-    const int priority = flow.holder != nullptr && flow.holder->priority
-                             ? *flow.holder->priority
-                             : flow.route->priority;
-    terms.priority = std::clamp(priority, 0, kLowestPriority);
+  // An engine takes a running stream's memory for a more urgent one, and reads
+  // the first one's prompt again: a pause of a second for its caller. Ranks of
+  // routes are not worth that; an organisation's own rank is the operators'
+  // express wish.
+  const bool ranked = flow.on_engine && flow.holder != nullptr &&
+                      flow.holder->priority.has_value();
+  if (ranked) {
+    terms.priority = std::clamp(*flow.holder->priority, 0, kLowestPriority);
   }
   HttpCall call;
   call.id = attempt.call;
--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -68,6 +68,9 @@
         {"time-left", std::to_string(std::chrono::duration_cast<milliseconds>(
                                          terms.time_left)
                                          .count())}};
+    if (terms.priority.has_value()) {
+      sent.push_back({"rank", std::to_string(*terms.priority)});
+    }
     if (terms.resume.has_value()) {
       sent.push_back({"resume", terms.resume->source + "/" +
                                     terms.resume->handle + "/" +
--- a/src/gateway/tests/streams_test.cc
+++ b/src/gateway/tests/streams_test.cc
@@ -48,6 +48,19 @@
   CHECK_FALSE(this->Told(this->id).aborted);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+                 "stream forwarding, ranks of routes and of an organisation, "
+                 "the engine is told of the organisation's only",
+                 "[gateway]") {
+  CHECK(FindHeader(this->call.headers, "rank") == nullptr);
+  Deployment ranked = MakeDeployment(8);
+  ranked.routes[2].priority = 1;
+  ranked.holders[0].priority = 3;
+  this->Adopt(ranked);
+  this->Ask("/stream/8");
+  CHECK(HeaderOf(this->Order("/stream/8?a=%20b").headers, "rank") == "3");
+}
+
 TEST_CASE_METHOD(StreamFixture,
                  "stream forwarding, worker cut, breaks off visibly and is not "
                  "begun again",
--- a/src/telemetry/line_writer.cc
+++ b/src/telemetry/line_writer.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -6,7 +7,6 @@
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <atomic>
 #include <ostream>
 
 #include "telemetry/telemetry.h"
@@ -41,8 +41,7 @@
 class LineWriter::Impl {
  public:
   using Backend = log::sinks::text_ostream_backend;
-  using Queue = log::sinks::bounded_fifo_queue<kMaxQueuedLines,
-                                               CountedDrops>;
+  using Queue = log::sinks::bounded_fifo_queue<kMaxQueuedLines, CountedDrops>;
   using Sink = log::sinks::asynchronous_sink<Backend, Queue>;
 
   Impl(LineWriterSettings settings, std::ostream& output)
@@ -78,8 +77,8 @@
     const LogLine line{LogLevel::kWarning,
                        "log lines dropped",
                        {{"lines", std::to_string(dropped)}}};
-    this->Write(RenderLog(line, this->settings.host,
-                          this->settings.clock.At(now)));
+    this->Write(
+        RenderLog(line, this->settings.host, this->settings.clock.At(now)));
     if (CountedDrops::Count().load() > 0) {
       CountedDrops::Count().fetch_add(dropped);  // this line was dropped, too
     }
