--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -23,6 +23,8 @@
 constexpr Duration kTimePerToken = std::chrono::microseconds(9000);
 constexpr double kSlowEngine = 1.3;
 constexpr int kLowestPriority = 9;
+// No engine holds more; a claim beyond it must not upset sums of many.
+constexpr std::uint64_t kMostTokens = 1ULL << 30U;
 // Where only this host cannot serve, the next one can at once.
 constexpr Duration kElsewhere = std::chrono::milliseconds(20);
 
@@ -122,21 +124,25 @@
   flow->on_engine = service != nullptr && service->engine.has_value();
   const CallerTerms& told = flow->terms;
   if (flow->on_engine) {
-    const std::uint64_t most = told.max_output_tokens.value_or(0);
+    const std::uint64_t most =
+        std::min(told.max_output_tokens.value_or(0), kMostTokens);
     const double output =
         told.expected_output_tokens.has_value()
-            ? this->guessed_lengths.Expect(flow->route->name,
-                                           *told.expected_output_tokens, most)
+            ? this->guessed_lengths.Expect(
+                  flow->route->name,
+                  std::min(*told.expected_output_tokens, kMostTokens), most)
             : static_cast<double>(most);
-    flow->size.prompt_tokens = told.prompt_tokens.value_or(0);
+    flow->size.prompt_tokens =
+        std::min(told.prompt_tokens.value_or(0), kMostTokens);
     flow->size.tokens = flow->size.prompt_tokens +
                         static_cast<std::uint64_t>(std::lround(output));
   }
   const Duration patience = std::min(
       told.patience.value_or(flow->route->timeout), flow->route->timeout);
   flow->deadline = now + patience;
-  const std::uint64_t longest =
-      told.max_output_tokens.value_or(told.expected_output_tokens.value_or(0));
+  const std::uint64_t longest = std::min(
+      told.max_output_tokens.value_or(told.expected_output_tokens.value_or(0)),
+      kMostTokens);
   const Duration run_time = FromSeconds(
       ToSeconds(kTimePerToken) * static_cast<double>(longest) * kSlowEngine);
   if (flow->Streaming() && run_time >= this->hooks.time_to_end(now)) {
--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -13,6 +13,7 @@
 /// names only.
 std::map<std::string, WorkerRegistration> known_workers;
 std::map<std::string, Deployment> known_deployments;
+std::uint64_t told_prompt_tokens = 3000;
 
 StoreDialect Dialect() {
   StoreDialect dialect;
@@ -56,7 +57,7 @@
     CallerTerms terms;
     terms.request_id = GatewayFixture::HeaderOf(headers, "id");
     terms.key = GatewayFixture::HeaderOf(headers, "key");
-    terms.prompt_tokens = 3000;
+    terms.prompt_tokens = told_prompt_tokens;
     terms.max_output_tokens = 900;
     terms.expected_output_tokens = 10;  // a guess that is far too short
     return terms;
@@ -178,6 +179,7 @@
 GatewayFixture::GatewayFixture()
     : host(Settings(), Codec()), deployment(MakeDeployment(7)) {
   known_workers.clear();
+  told_prompt_tokens = 3000;
   known_deployments["main"] = this->deployment;
   this->Carry(this->host.Start(this->now));
   this->Pass(milliseconds(10));
@@ -201,6 +203,10 @@
   this->Feed(HttpDone{call.id, HttpEnd::kComplete});
 }
 
+void GatewayFixture::SetPromptTokens(std::uint64_t tokens) {
+  told_prompt_tokens = tokens;
+}
+
 void GatewayFixture::Hear(const NeighbourMessage& message) {
   this->Feed(PeerFrame{message.host, EncodeNeighbourMessage(message)});
 }
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -63,6 +63,9 @@
   int log_lines = 0;
   std::vector<PeerSend> datagrams;  ///< sent to other hosts
 
+  /// @brief What callers say of their prompts from now on.
+  static void SetPromptTokens(std::uint64_t tokens);
+
   /// @brief Another host says something.
   void Hear(const NeighbourMessage& message);
 
--- a/src/gateway/tests/neighbours_test.cc
+++ b/src/gateway/tests/neighbours_test.cc
@@ -64,4 +64,17 @@
   }
 }
 
+TEST_CASE_METHOD(NeighbourFixture,
+                 "gateway, a caller claims a prompt of 2^64 tokens, neighbours "
+                 "still read what they are told",
+                 "[gateway]") {
+  SetPromptTokens(UINT64_MAX);
+  this->Ask("/stream/7");
+  this->Pass(milliseconds(20));
+  REQUIRE_FALSE(this->datagrams.empty());
+  for (const PeerSend& sent : this->datagrams) {
+    CHECK(DecodeNeighbourMessage(sent.bytes).ok());
+  }
+}
+
 }  // namespace limpetlink::testing
--- a/src/telemetry/line_writer.cc
+++ b/src/telemetry/line_writer.cc
@@ -27,6 +27,7 @@
     return count;
   }
 
+  // NOLINTBEGIN(readability-identifier-naming): the names that Boost.Log calls
   template <typename Lock>
   static bool on_overflow(const log::record_view& /*line*/, Lock& /*lock*/) {
     Count().fetch_add(1, std::memory_order_relaxed);
@@ -34,6 +35,7 @@
   }
   static void on_queue_space_available() {}
   static void interrupt() {}
+  // NOLINTEND(readability-identifier-naming)
 };
 
 }  // namespace
