--- a/src/routing/detail/load_table.h
+++ b/src/routing/detail/load_table.h
@@ -145,6 +145,10 @@
     WorkerHealth health;
   };
 
+  using LoadsByWorker = std::map<UpstreamId, OwnLoad>;
+
+  /// @brief Replaces what one host or domain told, and its part of the sums.
+  void Replace(LoadsByWorker* told, const std::vector<OwnLoad>& loads);
   std::vector<LoadCandidate> Sample(std::vector<LoadCandidate> candidates);
   bool MemoryTold(Instant now, const Entry& entry) const;
   double UsualDelay(Instant now, const std::vector<LoadCandidate>& candidates,
@@ -164,7 +168,7 @@
                 const LoadCandidate& candidate) const;
 
   std::map<UpstreamId, Entry> entries;
-  using LoadsByWorker = std::map<UpstreamId, OwnLoad>;
+  LoadsByWorker others;  ///< sums over all that was told
   std::map<HostId, LoadsByWorker> told;
   std::map<FailureDomainId, LoadsByWorker> told_by_domain;
   Random random;
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -53,6 +53,18 @@
   sum->tokens += load.tokens;
 }
 
+void Take(const OwnLoad& load, OwnLoad* sum) {
+  sum->running -= load.running;
+  sum->waiting -= load.waiting;
+  sum->waiting_tokens -= load.waiting_tokens;
+  sum->tokens -= load.tokens;
+}
+
+bool IsZero(const OwnLoad& load) {
+  return load.running == 0 && load.waiting == 0 && load.waiting_tokens == 0 &&
+         load.tokens == 0;
+}
+
 double DistanceMs(Distance distance) {
   switch (distance) {
     case Distance::kSameDomain:
@@ -108,19 +120,41 @@
 
 void LoadTable::TakeShares(Instant /*now*/, const HostId& host,
                            const std::vector<OwnLoad>& shares) {
-  this->told[host] = ByWorker(shares);
+  this->Replace(&this->told[host], shares);
+}
+
+void LoadTable::ForgetHost(const HostId& host) {
+  this->Replace(&this->told[host], {});
+  this->told.erase(host);
 }
 
 void LoadTable::TakeDomainLoads(Instant /*now*/, const FailureDomainId& domain,
                                 const std::vector<OwnLoad>& loads) {
-  this->told_by_domain[domain] = ByWorker(loads);
+  this->Replace(&this->told_by_domain[domain], loads);
 }
 
 void LoadTable::ForgetDomain(const FailureDomainId& domain) {
+  this->Replace(&this->told_by_domain[domain], {});
   this->told_by_domain.erase(domain);
 }
 
-void LoadTable::ForgetHost(const HostId& host) { this->told.erase(host); }
+void LoadTable::Replace(LoadsByWorker* told,
+                        const std::vector<OwnLoad>& loads) {
+  for (const auto& [worker, load] : *told) {
+    const auto sum = this->others.find(worker);
+    if (sum == this->others.end()) {
+      continue;  // a row of zeros, whose sum went with the last other row
+    }
+    Take(load, &sum->second);
+    if (IsZero(sum->second)) {
+      this->others.erase(sum);
+    }
+  }
+  *told = ByWorker(loads);
+  for (const auto& [worker, load] : *told) {
+    Add(load, &this->others[worker]);
+  }
+}
 
 std::vector<OwnLoad> LoadTable::OwnLoads() const {
   std::vector<OwnLoad> loads;
@@ -157,20 +191,8 @@
 }
 
 OwnLoad LoadTable::OthersAt(const UpstreamId& worker) const {
-  OwnLoad sum;
-  const auto add = [&](const LoadsByWorker& by_worker) {
-    const auto found = by_worker.find(worker);
-    if (found != by_worker.end()) {
-      Add(found->second, &sum);
-    }
-  };
-  for (const auto& [host, by_worker] : this->told) {
-    add(by_worker);
-  }
-  for (const auto& [domain, by_worker] : this->told_by_domain) {
-    add(by_worker);
-  }
-  return sum;
+  const auto found = this->others.find(worker);
+  return found == this->others.end() ? OwnLoad{} : found->second;
 }
 
 bool LoadTable::LoadTold(Instant now, const Entry& entry,
--- a/src/routing/tests/load_table_test.cc
+++ b/src/routing/tests/load_table_test.cc
@@ -217,6 +217,35 @@
         UpstreamId{"far"});
 }
 
+TEST_CASE(
+    "load table, hosts and domains tell, change and fall silent, the sums "
+    "follow") {
+  LoadTable table(1);
+  const Instant now{};
+  const UpstreamId worker{"w"};
+  const auto told = [&] {
+    const std::optional<LoadChoice> choice =
+        table.Choose(now, {Engine("w")}, Stream(1000, 10));
+    return choice->others;
+  };
+  table.TakeShares(now, HostId{"a"}, {{worker, 2, 1, 3000, 7600}});
+  table.TakeShares(now, HostId{"b"}, {{worker, 0, 0, 0, 0}});
+  table.TakeDomainLoads(now, FailureDomainId{"d"}, {{worker, 1, 0, 0, 3800}});
+  CHECK(told().running == 3);
+  CHECK(told().tokens == 11400);
+  table.TakeShares(now, HostId{"a"}, {{worker, 1, 0, 0, 3800}});
+  CHECK(told().running == 2);
+  CHECK(told().waiting_tokens == 0);
+  table.ForgetDomain(FailureDomainId{"d"});
+  table.ForgetHost(HostId{"a"});
+  CHECK(told().running == 0);
+  table.TakeShares(now, HostId{"b"}, {{worker, 4, 4, 100, 200}});
+  CHECK(told().running == 4);
+  table.ForgetHost(HostId{"unknown"});
+  table.ForgetHost(HostId{"b"});
+  CHECK(told().running == 0);
+}
+
 TEST_CASE(
     "load table, a dozen hosts fill two thirds of a failure domain's memory, "
     "few first bytes are late") {
