--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -59,7 +59,7 @@
   std::vector<LeavingWorker> leaving;
   std::vector<NeighbourAddress> neighbours;  ///< the answer to a question
   std::vector<DomainContact> contacts;       ///< in the same answer
-  /// The sender's clock; only the sender reads it again, in `echo`.
+  /// The sender's clock; it comes back to the sender in `echo_ms`.
   std::int64_t sent_at_ms = 0;
   /// The receiver's clock in its last message that the sender has. Ages in
   /// this message are no older than that by the receiver's clock, however long
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -16,8 +16,8 @@
 constexpr Duration kAskerLife = std::chrono::milliseconds(11000);
 // A lost datagram is made up for by the next states.
 constexpr Duration kLeavingTold = std::chrono::milliseconds(2500);
-// Other domains place here only what finds no room at home, so that a few
-// messages a second are enough.
+// Other domains place here only what finds no room at home; a tenth of a
+// second is a quarter of the time that an engine takes to read a prompt.
 constexpr Duration kDomainsEvery = std::chrono::milliseconds(100);
 constexpr Duration kDomainSilence = std::chrono::milliseconds(1600);
 constexpr std::size_t kMostDomains = 32;
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -9,6 +9,7 @@
 // one is still nearer the truth than this host's own requests alone.
 constexpr Duration kReportLife = std::chrono::milliseconds(1500);
 constexpr Duration kMemoryReportLife = std::chrono::milliseconds(4000);
+// Keeps hosts that know the same from choosing the same of equal workers.
 constexpr double kRandomPartMs = 4.0;
 // Near candidates that are all compared, and how many of more are.
 constexpr std::size_t kComparedAll = 5;
