Give plain requests their own distances

Cause: reading the diff showed that the distances that keep streams near (300 ms and 900 ms) counted for plain requests too: they would stay with a near worker that fails half of them or has queues of three times its slots.

Ruled out: higher weights for failures and slots (their proportion to round trips was right before).

Change: 10 ms and 60 ms for plain requests, as before the estimate was one of time; 300 ms and 900 ms for engines.

--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -34,10 +34,13 @@
 constexpr double kMemoryMs = 250.0;
 // Memory that a request of another host is counted to hold.
 constexpr double kOtherRequestTokens = 3000.0;
+// Round trips of a plain request to a worker farther away.
+constexpr double kOtherDomainMs = 10.0;
+constexpr double kOtherRegionMs = 60.0;
 // A stream farther away is harder to save when its worker leaves, and what is
 // known of the load there is older.
-constexpr double kOtherDomainMs = 300.0;
-constexpr double kOtherRegionMs = 900.0;
+constexpr double kEngineOtherDomainMs = 300.0;
+constexpr double kEngineOtherRegionMs = 900.0;
 
 std::map<UpstreamId, OwnLoad> ByWorker(const std::vector<OwnLoad>& loads) {
   std::map<UpstreamId, OwnLoad> by_worker;
@@ -66,16 +69,16 @@
          load.tokens == 0;
 }
 
-double DistanceMs(Distance distance) {
+double DistanceMs(Distance distance, bool engine) {
   switch (distance) {
     case Distance::kSameDomain:
       return 0;
     case Distance::kSameRegion:
-      return kOtherDomainMs;
+      return engine ? kEngineOtherDomainMs : kOtherDomainMs;
     case Distance::kOtherRegion:
-      return kOtherRegionMs;
+      break;
   }
-  return kOtherRegionMs;
+  return engine ? kEngineOtherRegionMs : kOtherRegionMs;
 }
 
 }  // namespace
@@ -337,7 +340,7 @@
     if (engine && !this->LoadTold(now, entry, candidate)) {
       delay = std::max(delay, usual);
     }
-    delay += DistanceMs(candidate.distance);
+    delay += DistanceMs(candidate.distance, engine);
     const double score = delay + kRandomPartMs * this->random.Fraction();
     const bool ejected = entry.health.Ejected(now);
     const bool better = !best.has_value() || (best_ejected && !ejected) ||
--- a/src/routing/tests/load_table_test.cc
+++ b/src/routing/tests/load_table_test.cc
@@ -217,6 +217,41 @@
         UpstreamId{"far"});
 }
 
+TEST_CASE(
+    "load table, the near application worker fails half its requests, plain "
+    "requests go farther") {
+  LoadTable table(1);
+  const Instant now{};
+  LoadCandidate near;
+  near.worker = UpstreamId{"near"};
+  near.slots = 6;
+  LoadCandidate far = near;
+  far.worker = UpstreamId{"far"};
+  far.distance = Distance::kOtherRegion;
+  CHECK(table.Choose(now, {near, far}, {})->worker == near.worker);
+  for (int i = 0; i < 40; ++i) {
+    table.Note(now, near.worker, i % 2 == 0, false);
+  }
+  CHECK(table.Choose(now, {near, far}, {})->worker == far.worker);
+}
+
+TEST_CASE(
+    "load table, the near application worker's slots are all taken, a plain "
+    "request goes to another domain of the region") {
+  LoadTable table(1);
+  const Instant now{};
+  LoadCandidate near;
+  near.worker = UpstreamId{"near"};
+  near.slots = 6;
+  LoadCandidate far = near;
+  far.worker = UpstreamId{"far"};
+  far.distance = Distance::kSameRegion;
+  for (int i = 0; i < 6; ++i) {
+    table.Begin(now, near.worker, {});
+  }
+  CHECK(table.Choose(now, {near, far}, {})->worker == far.worker);
+}
+
 TEST_CASE(
     "load table, hosts and domains tell, change and fall silent, the sums "
     "follow") {
