Relay how long removals of workers are delayed; remember departures

Cause: a host that receives changes from neighbours makes no calls of its own, so it cannot tell an outage of the store, in which registrations of live workers expire, from a quiet time. It took removals right after an outage at face value, or would have delayed them after each pause of 2 s. A store restored from an older copy lists workers that have left already.

Change: reads and changes carry how long their sender still delays removals. A host counts a time without response as an outage only if a call of its own failed in it, or after 4 s. Incarnations that were removed while leaving stay leaving when an older copy lists them once more. A host that hears of a later era lists again soon.

--- a/src/discovery/detail/worker_directory.h
+++ b/src/discovery/detail/worker_directory.h
@@ -2,6 +2,7 @@
 /// @brief Directory of the registered workers.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -26,12 +27,19 @@
 
 /// @brief When the directory delays removals.
 struct WorkerDirectorySettings {
-  /// Time without a response of the store that counts as an outage, in which
-  /// registrations of live workers may have expired.
+  /// Time without a response of the store, own or relayed, that counts as an
+  /// outage if a call failed in it; registrations of live workers may have
+  /// expired.
   Duration outage_threshold{std::chrono::seconds(2)};
+  /// The same for a time without a failed call. A host that other hosts inform
+  /// makes no calls for a while.
+  Duration silence_threshold{std::chrono::seconds(4)};
   /// How long removals are delayed after an outage, so that live workers can
   /// register again.
   Duration removal_delay{std::chrono::milliseconds(2200)};
+  /// How long departed workers are remembered; longer than a copy of the store
+  /// is old.
+  Duration departure_lifetime{std::chrono::seconds(60)};
 };
 
 /// @brief Stores the registrations of the workers. After an outage of the
@@ -45,6 +53,18 @@
   /// applied.
   void OnStoreResponse(Instant now);
 
+  /// @brief Records a failed call to the store.
+  void OnStoreFailure() { this->call_failed = true; }
+
+  /// @brief Records a response of the store that another host relays.
+  /// @param removal_delay RemovalDelay() of that host
+  void OnRelayedResponse(Instant now, Duration removal_delay);
+
+  /// @return how long removals are still delayed; 0 if they are not
+  Duration RemovalDelay(Instant now) const {
+    return std::max(Duration{0}, this->delay_removals_until - now);
+  }
+
   /// @brief Delays removals after the store was restored from an older copy;
   /// live workers then register again.
   void OnStoreRestored(Instant now);
@@ -67,6 +87,10 @@
   /// @return the worker, or nullptr
   const WorkerRegistration* Find(const UpstreamId& id) const;
 
+  /// @brief Returns whether this incarnation of a worker was removed while it
+  /// was leaving. A store restored from an older copy lists it once more.
+  bool HasDeparted(const UpstreamId& id, std::int64_t started_at) const;
+
   /// @return workers of a service that take new work, in order of their ids
   std::vector<const WorkerRegistration*> AvailableWorkers(
       const std::string& service) const;
@@ -74,10 +98,19 @@
   std::size_t Size() const { return this->workers.size(); }
 
  private:
+  struct Departure {
+    std::int64_t started_at = 0;
+    Instant removed_at{};
+  };
+
+  void Erase(Instant now, const UpstreamId& id);
+
   WorkerDirectorySettings settings;
   std::map<UpstreamId, WorkerRegistration> workers;
   std::map<UpstreamId, Instant> delayed_removals;
+  std::map<UpstreamId, Departure> departed;
   Instant last_response_at{};
+  bool call_failed = false;  ///< since the last response
   Instant delay_removals_until{};
 };
 
--- a/src/discovery/kind_watch.cc
+++ b/src/discovery/kind_watch.cc
@@ -266,6 +266,11 @@
     this->pending_read = read;
     return;
   }
+  if (read.era > this->era) {
+    // Another host found the store restored; this host lists it as well.
+    this->RequestMissing(now, this->revision);
+    return;
+  }
   const bool usable = read.era == this->era && (!this->fresh_at.has_value() ||
                                                 read.sent_at > *this->fresh_at);
   if (!usable) {
--- a/src/discovery/tests/kind_watch_test.cc
+++ b/src/discovery/tests/kind_watch_test.cc
@@ -467,6 +467,18 @@
   CHECK(this->changed == "d");
 }
 
+TEST_CASE_METHOD(FollowerFixture,
+                 "kind watch, read of another host in a later era, lists again "
+                 "soon",
+                 "[discovery]") {
+  this->watch.ApplyLinearizableRead(this->now, {"workers", 5, 6, this->now, 1});
+  CHECK(this->watch.Age(this->now) == Duration{0});  // of its own era
+  this->Advance(milliseconds(300));
+  this->Respond(410, "", 1);
+  CHECK(this->restorations == 1);
+  CHECK(this->PendingUrl() == "http://store/list?after=");
+}
+
 TEST_CASE_METHOD(KindWatchFixture,
                  "kind watch, response of an earlier era, is not used",
                  "[discovery]") {
--- a/src/discovery/tests/worker_directory_test.cc
+++ b/src/discovery/tests/worker_directory_test.cc
@@ -88,5 +88,59 @@
   CHECK(this->AvailableIds() == std::vector<std::string>{"b"});
 }
 
+TEST_CASE_METHOD(DirectoryFixture,
+                 "worker directory, no call for a while but relayed responses, "
+                 "removes at once",
+                 "[discovery]") {
+  for (int i = 0; i < 5; ++i) {
+    this->now += milliseconds(1900);
+    this->directory.OnRelayedResponse(this->now, Duration{0});
+  }
+  this->now += milliseconds(2500);
+  this->directory.OnStoreResponse(this->now);
+  this->directory.Remove(this->now, UpstreamId{"a"});
+  CHECK(this->AvailableIds() == std::vector<std::string>{"b"});
+}
+
+TEST_CASE_METHOD(
+    DirectoryFixture,
+    "worker directory, calls fail for two seconds, delays removals",
+    "[discovery]") {
+  this->directory.OnStoreFailure();
+  this->now += milliseconds(2500);
+  this->directory.OnStoreResponse(this->now);
+  this->directory.Remove(this->now, UpstreamId{"a"});
+  CHECK(this->AvailableIds() == std::vector<std::string>{"a", "b"});
+  CHECK(this->directory.RemovalDelay(this->now) == milliseconds(2200));
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "worker directory, another host saw an outage, delays "
+                 "removals as that host does",
+                 "[discovery]") {
+  this->directory.OnRelayedResponse(this->now, milliseconds(900));
+  this->directory.Remove(this->now, UpstreamId{"a"});
+  CHECK(this->AvailableIds() == std::vector<std::string>{"a", "b"});
+  this->now += milliseconds(900);
+  this->directory.Tick(this->now);
+  CHECK(this->AvailableIds() == std::vector<std::string>{"b"});
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "worker directory, store restored from an older copy, delays "
+                 "removals and knows departed incarnations",
+                 "[discovery]") {
+  WorkerRegistration leaving = WorkerOf("a");
+  leaving.leaving = true;
+  leaving.started_at = 7;
+  this->directory.Put(leaving);
+  this->directory.Remove(this->now, UpstreamId{"a"});
+  CHECK(this->directory.HasDeparted(UpstreamId{"a"}, 7));
+  CHECK_FALSE(this->directory.HasDeparted(UpstreamId{"a"}, 8));
+  this->directory.OnStoreRestored(this->now);
+  this->directory.Remove(this->now, UpstreamId{"b"});
+  CHECK(this->AvailableIds() == std::vector<std::string>{"b"});
+}
+
 }  // namespace
 }  // namespace limpetlink
--- a/src/discovery/worker_directory.cc
+++ b/src/discovery/worker_directory.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "discovery/discovery.h"
@@ -7,11 +8,20 @@
 
 void WorkerDirectory::OnStoreResponse(Instant now) {
   const bool contacted_before = this->last_response_at != Instant{};
-  if (contacted_before &&
-      now - this->last_response_at >= this->settings.outage_threshold) {
+  const Duration threshold = this->call_failed
+                                 ? this->settings.outage_threshold
+                                 : this->settings.silence_threshold;
+  if (contacted_before && now - this->last_response_at >= threshold) {
     this->delay_removals_until = now + this->settings.removal_delay;
   }
   this->last_response_at = now;
+  this->call_failed = false;
+}
+
+void WorkerDirectory::OnRelayedResponse(Instant now, Duration removal_delay) {
+  this->last_response_at = now;
+  this->delay_removals_until =
+      std::max(this->delay_removals_until, now + removal_delay);
 }
 
 void WorkerDirectory::OnStoreRestored(Instant now) {
@@ -29,10 +39,33 @@
     this->delayed_removals.emplace(id, this->delay_removals_until);
     return;
   }
-  this->workers.erase(id);
+  this->Erase(now, id);
   this->delayed_removals.erase(id);
 }
 
+void WorkerDirectory::Erase(Instant now, const UpstreamId& id) {
+  const auto found = this->workers.find(id);
+  if (found == this->workers.end()) {
+    return;
+  }
+  if (found->second.leaving) {
+    for (auto it = this->departed.begin(); it != this->departed.end();) {
+      it = now - it->second.removed_at > this->settings.departure_lifetime
+               ? this->departed.erase(it)
+               : std::next(it);
+    }
+    this->departed[id] = {found->second.started_at, now};
+  }
+  this->workers.erase(found);
+}
+
+bool WorkerDirectory::HasDeparted(const UpstreamId& id,
+                                  std::int64_t started_at) const {
+  const auto found = this->departed.find(id);
+  return found != this->departed.end() &&
+         found->second.started_at == started_at;
+}
+
 void WorkerDirectory::Retain(Instant now,
                              const std::vector<UpstreamId>& listed) {
   std::vector<UpstreamId> missing;
@@ -53,7 +86,7 @@
       ++it;
       continue;
     }
-    this->workers.erase(it->first);
+    this->Erase(now, it->first);
     it = this->delayed_removals.erase(it);
   }
 }
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -44,6 +44,9 @@
   /// progress keeps the limits it started with.
   void Reload(const GatewayLimits& limits) { this->settings.limits = limits; }
 
+  /// @return the number of workers that this host knows
+  std::size_t WorkerCount() const { return this->directory.Size(); }
+
   /// @return the result of the readiness check
   bool Ready(Instant now) const;
 
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -153,6 +153,12 @@
     }
     return changes;
   };
+  hooks.local_removal_delay = [this](Instant now) {
+    return this->directory.RemovalDelay(now);
+  };
+  hooks.neighbour_removal_delay = [this](Instant now, Duration delay) {
+    this->directory.OnRelayedResponse(now, delay);
+  };
   hooks.neighbour_changes = [this](Instant now, const KindChanges& changes) {
     for (KindWatch* watch : {&this->deployments, &this->workers}) {
       if (watch->Kind() == changes.kind) {
@@ -272,6 +278,8 @@
                            result.status == StoreStatus::kHistoryGone;
     if (responded) {
       this->directory.OnStoreResponse(now);
+    } else {
+      this->directory.OnStoreFailure();
     }
     this->deployments.OnResult(now, &result) ||
         this->workers.OnResult(now, &result);
@@ -359,7 +367,8 @@
                          known->address != read->address;
   // Leaving is final for an incarnation of a worker. The worker itself may have
   // reported it before the store does.
-  read->leaving = read->leaving || (!restarted && known->leaving);
+  read->leaving = read->leaving || (!restarted && known->leaving) ||
+                  this->directory.HasDeparted(id, read->started_at);
   const bool changed = restarted || known->leaving != read->leaving ||
                        known->service != read->service;
   if (restarted) {
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -74,6 +74,9 @@
   /// Changes in the metadata store that the sender has read. A message with
   /// changes carries nothing else.
   std::vector<KindChanges> changes;
+  /// Sent with reads and changes: how long the sender delays removals of workers, whose
+  /// registrations may have expired during an outage of the store.
+  Duration removal_delay{0};
 };
 
 /// @brief Encodes a message as CBOR.
--- a/src/neighbours/detail/neighbours.h
+++ b/src/neighbours/detail/neighbours.h
@@ -42,6 +42,11 @@
       neighbour_read;
   /// Returns the latest changes in the metadata store that this host has read.
   std::function<std::vector<KindChanges>(Instant)> local_changes;
+  /// Returns how long this host delays removals of workers.
+  std::function<Duration(Instant)> local_removal_delay;
+  /// Called before the reads and changes of a neighbour, with its delay of
+  /// removals.
+  std::function<void(Instant, Duration)> neighbour_removal_delay;
   /// Receives the changes that a neighbour has read.
   std::function<void(Instant, const KindChanges&)> neighbour_changes;
   /// Returns the load of all hosts of this host's failure domain.
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -35,6 +35,13 @@
     return is_valid ? value.get<std::uint64_t>() : 0;
   }
 
+  std::uint64_t Member(const Json& root, const char* member,
+                       std::uint64_t max) {
+    const auto found = root.find(member);
+    this->valid = this->valid && found != root.end();
+    return found == root.end() ? 0 : this->Number(*found, max);
+  }
+
   /// @brief Returns the rows of a list, each of which must have `columns`
   /// columns.
   /// @return an empty list when the list is missing, too long or malformed
@@ -190,6 +197,11 @@
   if (!message.changes.empty()) {
     root["changes"] = EncodeChanges(message.changes);
   }
+  if (message.echo_ms.has_value() || !message.changes.empty()) {
+    root["removal_delay_ms"] =
+        std::chrono::ceil<std::chrono::milliseconds>(message.removal_delay)
+            .count();
+  }
   if (message.domain_loads.has_value()) {
     root["loads_of"] = message.domain_loads->domain.value;
     root["loads"] = EncodeLoads(message.domain_loads->loads);
@@ -253,6 +265,10 @@
   if (root.contains("changes")) {
     message.changes = ReadChanges(root, &reader);
   }
+  if (root.contains("echo_ms") || root.contains("changes")) {
+    message.removal_delay = std::chrono::milliseconds(
+        reader.Member(root, "removal_delay_ms", kMaxAgeMs));
+  }
   if (root.contains("loads_of")) {
     message.domain_loads =
         DomainLoads{FailureDomainId{reader.Text(root["loads_of"])},
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -138,6 +138,9 @@
   sender.last_received = now;
   sender.peer_clock_ms = message.sent_at_ms;
   this->HandleLinearizableReads(now, message);
+  if (message.echo_ms.has_value() || !message.changes.empty()) {
+    this->hooks.neighbour_removal_delay(now, message.removal_delay);
+  }
   for (const KindChanges& changes : message.changes) {
     this->hooks.neighbour_changes(now, changes);
   }
@@ -216,6 +219,7 @@
   NeighbourMessage message = this->MakeMessage(now, false);
   message.echo_ms = neighbour.peer_clock_ms;
   message.linearizable_reads = reads;
+  message.removal_delay = this->hooks.local_removal_delay(now);
   this->SendTo(neighbour.address, message);
 }
 
@@ -240,6 +244,7 @@
   }
   NeighbourMessage message = this->MakeMessage(now, false);
   message.changes = this->hooks.local_changes(now);
+  message.removal_delay = this->hooks.local_removal_delay(now);
   for (const auto& [host, neighbour] : this->neighbours) {
     this->SendTo(neighbour.address, message);
   }
--- a/src/neighbours/tests/neighbours_test.cc
+++ b/src/neighbours/tests/neighbours_test.cc
@@ -22,6 +22,7 @@
     Instant received_read_at{};  ///< of a neighbour's read, by this clock
     std::vector<KindChanges> changes;
     std::vector<KindChanges> received_changes;
+    Duration received_delay{0};
     std::vector<std::string> leaving;
     bool is_down = false;
   };
@@ -60,6 +61,10 @@
       member.received_read_at = sent_at;
     };
     hooks.local_changes = [&member](Instant) { return member.changes; };
+    hooks.local_removal_delay = [](Instant) { return milliseconds(700); };
+    hooks.neighbour_removal_delay = [&member](Instant, Duration delay) {
+      member.received_delay = delay;
+    };
     hooks.neighbour_changes = [&member](Instant, const KindChanges& changes) {
       member.received_changes.push_back(changes);
     };
@@ -227,6 +232,7 @@
   REQUIRE(seed.received_changes.size() == 1);
   const KindChanges& received = seed.received_changes.front();
   CHECK(received.kind == "workers");
+  CHECK(seed.received_delay == milliseconds(700));
   CHECK(received.era == 2);
   CHECK(received.from == 7);
   CHECK(received.to == 9);
--- a/tests/hosts/store_readers_test.cc
+++ b/tests/hosts/store_readers_test.cc
@@ -23,26 +23,36 @@
 /// A call that accepts a stale response costs a tenth of one that does not.
 constexpr double kStalePrice = 0.1;
 
+const std::string kRegistration(200, 'x');
+
 /// @brief A metadata store that answers lists and watches. Its responses are
-/// "REVISION|NAME,VERSION,DELETED|...".
+/// "REVISION|NAME,VERSION,DELETED,BYTES|..."; status 410 when the history is
+/// gone.
 class Store {
  public:
+  struct Object {
+    std::uint64_t version = 0;
+    std::string bytes;
+  };
   struct Change {
-    std::uint64_t revision;
+    std::uint64_t revision = 0;
     std::string kind;
     std::string name;
-    bool deleted;
+    std::string bytes;
+    bool deleted = false;
   };
 
   void Write(const std::string& kind, const std::string& name,
-             bool deleted = false) {
+             const std::string& bytes) {
     ++this->revision;
-    if (deleted) {
-      this->objects[kind].erase(name);
-    } else {
-      this->objects[kind][name] = this->revision;
-    }
-    this->changes.push_back({this->revision, kind, name, deleted});
+    this->objects[kind][name] = {this->revision, bytes};
+    this->changes.push_back({this->revision, kind, name, bytes, false});
+  }
+
+  void Delete(const std::string& kind, const std::string& name) {
+    ++this->revision;
+    this->objects[kind].erase(name);
+    this->changes.push_back({this->revision, kind, name, "", true});
   }
 
   static StoreDialect Dialect() {
@@ -57,6 +67,10 @@
              (request.allow_stale ? " stale" : " linearizable");
     };
     dialect.read = [](StoreVerb, StoreResponse* response, StoreResult* result) {
+      result->era = std::stoull(*FindHeader(response->headers, "era"));
+      if (response->status == 410) {
+        return StoreStatus::kHistoryGone;
+      }
       std::istringstream rows(response->body);
       std::string row;
       std::getline(rows, row, '|');
@@ -71,7 +85,8 @@
         std::getline(columns, deleted, ',');
         record.version = std::stoull(version);
         record.deleted = deleted == "1";
-        record.bytes = std::string(200, 'x');  // size of a registration
+        // Configurations have increasing versions of their own.
+        std::getline(columns, record.bytes, ',');
         result->records.push_back(record);
       }
       return StoreStatus::kOk;
@@ -93,16 +108,20 @@
     bool any = false;
     if (verb == "list") {
       if (this->objects.count(kind) > 0) {
-        for (const auto& [name, version] : this->objects.at(kind)) {
-          body += "|" + name + "," + std::to_string(version) + ",0";
+        for (const auto& [name, object] : this->objects.at(kind)) {
+          body += "|" + name + "," + std::to_string(object.version) + ",0," +
+                  object.bytes;
         }
       }
       return body;
     }
+    if (from < this->first_revision || from > this->revision) {
+      return std::string();  // the history is gone
+    }
     for (const Change& change : this->changes) {
       if (change.kind == kind && change.revision > from) {
         body += "|" + change.name + "," + std::to_string(change.revision) +
-                (change.deleted ? ",1" : ",0");
+                (change.deleted ? ",1," : ",0,") + change.bytes;
         any = true;
       }
     }
@@ -110,8 +129,20 @@
     return waits ? std::nullopt : std::optional<std::string>(body);
   }
 
+  /// @brief Replaces the contents by an earlier copy.
+  void Restore(const Store& copy) {
+    const std::uint64_t next_era = this->era + 1;
+    *this = copy;
+    this->era = next_era;
+    // The history of the copy is gone as well.
+    this->changes.clear();
+    this->first_revision = this->revision;
+  }
+
+  std::uint64_t era = 1;
   std::uint64_t revision = 10;
-  std::map<std::string, std::map<std::string, std::uint64_t>> objects;
+  std::uint64_t first_revision = 0;  ///< that a watch may start from
+  std::map<std::string, std::map<std::string, Object>> objects;
   std::vector<Change> changes;
   bool is_down = false;
 };
@@ -128,14 +159,16 @@
     std::vector<PendingCall> calls;
     std::vector<PeerFrame> received;
     std::set<std::string> workers;
+    std::uint64_t configuration = 0;
     bool is_down = false;
     bool is_cut_off = false;  ///< from the store
   };
 
   explicit StoreReadersFixture() {
-    this->store.Write("deployments", "main");
+    this->store.Write("deployments", "main", "1");
     for (int i = 0; i < 100; ++i) {
-      this->store.Write("workers", "worker-" + std::to_string(i));
+      this->store.Write("workers", "worker-" + std::to_string(i),
+                        kRegistration);
     }
   }
 
@@ -147,7 +180,7 @@
     codec.ready_path = "/ready";
     codec.deployment = [](const ObjectRecord& record) {
       Deployment deployment;
-      deployment.version = record.version;
+      deployment.version = std::stoull(record.bytes);
       deployment.holders = {
           {OrganisationId{"panel"}, {Sha256Hex("key")}, std::nullopt}};
       return absl::StatusOr<Deployment>(std::move(deployment));
@@ -223,6 +256,11 @@
   }
 
   static void NoteWorkers(Member* member, const LogLine& line) {
+    if (line.message == "configuration adopted") {
+      const std::uint64_t version = std::stoull(line.fields.front().value);
+      CHECK(version > member->configuration);
+      member->configuration = version;
+    }
     if (line.fields.empty() || line.fields.front().name != "worker") {
       return;
     }
@@ -246,8 +284,10 @@
         continue;
       }
       const CallId id = pending.call.id;
+      const int status = body->empty() ? 410 : 200;
+      const Headers headers = {{"era", std::to_string(this->store.era)}};
       for (const Event& event :
-           {Event(HttpHead{id, 200, {}}), Event(HttpChunk{id, *body}),
+           {Event(HttpHead{id, status, headers}), Event(HttpChunk{id, *body}),
             Event(HttpDone{id, HttpEnd::kComplete})}) {
         this->Apply(member, member->host->Step(this->now, event));
       }
@@ -264,10 +304,9 @@
       if (this->changing && this->now >= this->next_change) {
         this->next_change = this->now + milliseconds(60);
         const std::string id = std::to_string(this->next_worker++);
-        this->store.Write("workers", "worker-" + id);
-        this->store.Write("workers",
-                          "worker-" + std::to_string(this->next_worker - 101),
-                          true);
+        this->store.Write("workers", "worker-" + id, kRegistration);
+        this->store.Delete("workers",
+                           "worker-" + std::to_string(this->next_worker - 101));
       }
       for (auto& [name, member] : this->members) {
         if (member.is_down) {
@@ -299,7 +338,7 @@
       bool equal =
           !member.is_down &&
           member.workers.size() == this->store.objects.at("workers").size();
-      for (const auto& [worker, version] : this->store.objects.at("workers")) {
+      for (const auto& [worker, object] : this->store.objects.at("workers")) {
         equal = equal && member.workers.count(worker) > 0;
       }
       count += equal ? 1 : 0;
@@ -401,5 +440,86 @@
   CHECK(this->CurrentHosts() == count);
 }
 
+TEST_CASE_METHOD(StoreReadersFixture,
+                 "store readers, registrations expire during an outage and "
+                 "return, no host removes a live worker",
+                 "[gateway][scale]") {
+  const std::size_t count = 48;
+  this->AddHosts(count);
+  this->Advance(seconds(8));
+  this->changing = false;
+  this->Advance(seconds(1));
+  this->store.is_down = true;
+  this->Advance(seconds(6));
+  const auto registered = this->store.objects.at("workers");
+  for (const auto& [worker, object] : registered) {
+    this->store.Delete("workers", worker);
+  }
+  this->store.is_down = false;
+  for (int i = 0; i < 18; ++i) {
+    this->Advance(milliseconds(100));
+    for (const auto& [name, member] : this->members) {
+      CHECK(member.host->WorkerCount() == registered.size());
+    }
+  }
+  for (const auto& [worker, object] : registered) {
+    this->store.Write("workers", worker, object.bytes);
+  }
+  this->Advance(seconds(1));
+  for (const auto& [name, member] : this->members) {
+    CHECK(member.host->WorkerCount() == registered.size());
+  }
+}
+
+TEST_CASE_METHOD(StoreReadersFixture,
+                 "store readers, the store returns from an older copy, keep "
+                 "configuration and live workers",
+                 "[gateway][scale]") {
+  const std::size_t count = 48;
+  this->AddHosts(count);
+  this->Advance(seconds(8));
+  const Store copy = this->store;
+  this->Advance(seconds(3));  // registrations that the copy lacks
+  this->store.Write("deployments", "main", "2");
+  this->Advance(seconds(2));
+  this->changing = false;
+  this->Advance(seconds(1));
+  REQUIRE(this->CurrentHosts() == count);
+  const auto written_last = this->store.objects.at("workers");
+  const std::uint64_t revision_before = this->store.revision;
+  this->store.is_down = true;
+  this->Advance(seconds(1));
+  this->store.Restore(copy);
+  // Revisions that hosts already know are assigned again, to other changes.
+  this->store.Write("workers", "worker-new", kRegistration);
+  while (this->store.revision < revision_before + 10) {
+    this->store.Write("notes", "any", "");
+  }
+  this->Advance(milliseconds(1500));
+  for (const auto& [name, member] : this->members) {
+    CHECK(member.configuration == 2);
+    for (const auto& [worker, object] : written_last) {
+      CHECK(member.workers.count(worker) == 1);
+    }
+  }
+  // The operator and the live workers write again; the others lapse.
+  this->store.Write("deployments", "main", "2");
+  for (const auto& [worker, object] : written_last) {
+    this->store.Write("workers", worker, object.bytes);
+  }
+  this->Advance(seconds(1));
+  for (const auto& [worker, object] : copy.objects.at("workers")) {
+    if (written_last.count(worker) == 0) {
+      this->store.Delete("workers", worker);
+    }
+  }
+  this->Advance(seconds(5));
+  CHECK(this->ReadyHosts() == count);
+  CHECK(this->CurrentHosts() == count);
+  for (const auto& [name, member] : this->members) {
+    CHECK(member.configuration == 2);
+  }
+}
+
 }  // namespace
 }  // namespace limpetlink
