Ask a neighbour for changes that cannot be read from the store

Cause: a host that the store turns away could not follow a configuration that is too large to be relayed to all neighbours.

Change: a host whose call failed while a change is missing asks its neighbours in turn, one at a time. Each host keeps the records of the kind and answers with those above the given revision, unless an object was deleted since. Requests are logged with both ages.

Ruled out: relaying large configurations to all neighbours (9 KB x 48 at 12 changes a second exceeds a 20 Mbit/s link).

--- a/src/discovery/detail/kind_watch.h
+++ b/src/discovery/detail/kind_watch.h
@@ -36,6 +36,13 @@
   std::vector<ObjectRecord> records;  ///< in the order of the changes
 };
 
+/// @brief Position in the changes of a kind after which a host misses some.
+struct MissingChanges {
+  std::string kind;
+  std::uint64_t era = 0;
+  std::uint64_t revision = 0;  ///< every change up to here was received
+};
+
 /// @brief How a host obtains the changes of a kind.
 enum class WatchRole {
   kIndependent,  ///< watches the store; no other host uses its reads
@@ -78,6 +85,9 @@
   std::function<void(Instant)> on_linearizable_read;
   /// Called when this host has read changes that others may not know.
   std::function<void(Instant)> on_relay{};
+  /// Called when changes are missing that this host cannot read from the store;
+  /// other hosts may have them.
+  std::function<void(Instant, const MissingChanges&)> on_missing{};
   /// Called when the store came back from an older copy, before its content is
   /// listed again: objects written since then may be missing for a while.
   std::function<void(Instant)> on_store_restored{};
@@ -126,6 +136,12 @@
   /// and `from` tells up to where
   KindChanges RecentChanges(Instant now, std::size_t max_bytes) const;
 
+  /// @brief Returns the changes that another host misses.
+  /// @return the changes, or nullopt if this host does not know all of them or
+  /// they exceed `max_bytes`
+  std::optional<KindChanges> ChangesSince(const MissingChanges& missing,
+                                          std::size_t max_bytes) const;
+
   const std::string& Kind() const { return this->settings.kind; }
 
   /// @brief Sets how this host obtains changes.
@@ -176,6 +192,7 @@
   void RecordRead(Instant now, Instant sent_at, std::uint64_t at);
   void ApplyPendingRead(Instant now);
   void RequestMissing(Instant now, std::uint64_t revision);
+  void AskOtherHosts(Instant now);
   void ScheduleNext(Instant now);
   Instant NextReadDue(Instant now) const;
 
@@ -194,9 +211,10 @@
   std::optional<std::uint64_t> era;  ///< of the store's last response
   std::uint64_t revision = 0;        ///< every change up to here was received
   std::uint64_t changed_at = 0;      ///< of the last response with changes
-  /// Versions of the existing objects. Changes may arrive more than once, from
-  /// several hosts and after a list that includes them already.
-  std::map<std::string, std::uint64_t> versions;
+  /// The existing objects. Changes may arrive more than once, from several
+  /// hosts and after a list that includes them already.
+  std::map<std::string, ObjectRecord> objects;
+  std::uint64_t deleted_at = 0;  ///< revision of the last known deletion
   std::optional<LinearizableRead> last_read;
   std::optional<LinearizableRead>
       pending_read;  ///< of another host, whose changes have not all arrived
@@ -208,7 +226,8 @@
   WatchRole role = WatchRole::kIndependent;
   Instant started_at{};
   std::optional<Instant> fresh_at;
-  Instant retry_at{};  ///< after a failed call
+  Instant retry_at{};        ///< after a failed call
+  bool call_failed = false;  ///< whether the last call failed
   Instant next_call = kNever;
 };
 
--- a/src/discovery/kind_watch.cc
+++ b/src/discovery/kind_watch.cc
@@ -89,8 +89,11 @@
   if (!responded) {
     this->retry_at = now + std::max(kRetryDelay, result->retry_after);
     this->next_call = this->retry_at;
+    this->call_failed = true;
+    this->AskOtherHosts(now);
     return true;
   }
+  this->call_failed = false;
   if (!this->CheckEra(now, result->era)) {
     return true;
   }
@@ -127,7 +130,7 @@
   this->missing_revision = 0;
   this->revision = 0;
   this->changed_at = 0;
-  this->versions.clear();
+  this->objects.clear();
   if (this->hooks.on_store_restored != nullptr) {
     this->hooks.on_store_restored(now);
   }
@@ -155,9 +158,10 @@
   this->after.clear();
   this->revision = this->pages_revision;
   this->changed_at = this->revision;
-  this->versions.clear();
+  this->deleted_at = this->revision;
+  this->objects.clear();
   for (const ObjectRecord& record : this->pages) {
-    this->versions[record.name] = record.version;
+    this->objects[record.name] = record;
   }
   this->hooks.on_snapshot(now, std::exchange(this->pages, {}));
   if (this->linearizable) {
@@ -171,13 +175,13 @@
   if (record.version == 0) {
     return true;  // its metadata was unreadable
   }
-  const auto found = this->versions.find(record.name);
-  const bool exists = found != this->versions.end();
+  const auto found = this->objects.find(record.name);
+  const bool exists = found != this->objects.end();
   if (record.deleted) {
     // A deletion bears the version of the deleted object or a later one.
-    return exists && record.version >= found->second;
+    return exists && record.version >= found->second.version;
   }
-  return record.version > (exists ? found->second : this->revision);
+  return record.version > (exists ? found->second.version : this->revision);
 }
 
 bool KindWatch::ApplyRecords(Instant now, std::vector<ObjectRecord> records,
@@ -189,9 +193,10 @@
       continue;
     }
     if (record.deleted) {
-      this->versions.erase(record.name);
+      this->objects.erase(record.name);
+      this->deleted_at = std::max(this->deleted_at, to);
     } else {
-      this->versions[record.name] = record.version;
+      this->objects[record.name] = record;
     }
     this->hooks.on_change(now, record);
     applied = true;
@@ -318,6 +323,42 @@
   if (this->op.value == 0) {
     this->next_call = std::min(this->next_call, this->missing_due);
   }
+  if (this->call_failed) {
+    this->AskOtherHosts(now);
+  }
+}
+
+void KindWatch::AskOtherHosts(Instant now) {
+  const bool can_apply = this->has_snapshot && !this->listing;
+  if (can_apply && this->revision < this->missing_revision &&
+      this->hooks.on_missing != nullptr) {
+    this->hooks.on_missing(
+        now, {this->settings.kind, this->era.value_or(0), this->revision});
+  }
+}
+
+std::optional<KindChanges> KindWatch::ChangesSince(
+    const MissingChanges& missing, std::size_t max_bytes) const {
+  const bool known =
+      this->has_snapshot && !this->listing && missing.era == this->era &&
+      missing.revision < this->revision && this->deleted_at <= missing.revision;
+  if (!known) {
+    return std::nullopt;
+  }
+  KindChanges changes;
+  changes.kind = this->settings.kind;
+  changes.era = missing.era;
+  changes.from = missing.revision;
+  changes.to = this->revision;
+  for (const auto& [name, record] : this->objects) {
+    if (record.version > missing.revision) {
+      changes.records.push_back(record);
+    }
+  }
+  if (SizeOf(changes.records) > max_bytes) {
+    return std::nullopt;
+  }
+  return changes;
 }
 
 KindChanges KindWatch::RecentChanges(Instant now, std::size_t max_bytes) const {
--- a/src/discovery/tests/kind_watch_test.cc
+++ b/src/discovery/tests/kind_watch_test.cc
@@ -70,6 +70,9 @@
                },
                [this](Instant) { ++this->reads; },
                [this](Instant) { ++this->relays; },
+               [this](Instant, const MissingChanges& missing) {
+                 this->requested.push_back(missing.revision);
+               },
                [this](Instant) { ++this->restorations; }},
               &this->client) {
     this->watch.Start(this->now);
@@ -142,6 +145,7 @@
   int reads = 0;
   int relays = 0;
   int restorations = 0;
+  std::vector<std::uint64_t> requested;
   KindWatch watch;
   HttpCall pending;
 };
@@ -433,6 +437,45 @@
   CHECK(this->relays == 3);
 }
 
+TEST_CASE_METHOD(FollowerFixture,
+                 "kind watch, missing changes and an unreachable store, asks "
+                 "other hosts until they arrive",
+                 "[discovery]") {
+  this->watch.ApplyChanges(this->now, {"workers", 0, 9, 9, {}});
+  this->Advance(milliseconds(300));
+  CHECK(this->requested.empty());  // the store may still answer
+  this->Disconnect();
+  CHECK(this->requested == std::vector<std::uint64_t>{7});
+  this->watch.ApplyLinearizableRead(this->now, {"workers", 9, 9, this->now, 0});
+  CHECK(this->requested.size() == 2);
+  this->watch.ApplyChanges(this->now, {"workers", 0, 7, 9, {Change("c", 9)}});
+  CHECK(this->watch.Age(this->now) == Duration{0});
+  this->watch.ApplyLinearizableRead(
+      this->now + milliseconds(10),
+      {"workers", 9, 9, this->now + milliseconds(10), 0});
+  CHECK(this->requested.size() == 2);
+}
+
+TEST_CASE_METHOD(FollowerFixture,
+                 "kind watch, changes that another host misses, are known "
+                 "unless an object was deleted since",
+                 "[discovery]") {
+  this->watch.ApplyChanges(
+      this->now, {"workers", 0, 7, 9, {Change("c", 8), Change("a", 9)}});
+  const auto since = this->watch.ChangesSince({"workers", 0, 8}, 100);
+  REQUIRE(since.has_value());
+  CHECK(since->from == 8);
+  CHECK(since->to == 9);
+  REQUIRE(since->records.size() == 1);
+  CHECK(since->records[0].name == "a");
+  CHECK_FALSE(this->watch.ChangesSince({"workers", 0, 9}, 100).has_value());
+  CHECK_FALSE(this->watch.ChangesSince({"workers", 1, 8}, 100).has_value());
+  CHECK_FALSE(this->watch.ChangesSince({"workers", 0, 8}, 0).has_value());
+  this->watch.ApplyChanges(this->now,
+                           {"workers", 0, 9, 12, {Change("b", 6, true)}});
+  CHECK_FALSE(this->watch.ChangesSince({"workers", 0, 8}, 100).has_value());
+}
+
 TEST_CASE_METHOD(FollowerFixture,
                  "kind watch, changes too large to relay, announces only "
                  "their revision",
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -66,6 +66,7 @@
   std::string RenderRequests(Instant now) const;
   void LogStoreMode();
   void LogStoreRestored(Instant now);
+  void RequestChanges(Instant now, const MissingChanges& missing);
   void Log(LogLevel level, std::string message, std::vector<LogField> fields);
 
   GatewaySettings settings;
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -23,6 +23,9 @@
 // read from the store by each host: a message to 50 neighbours would occupy
 // the link of a small host for a tenth of a second.
 constexpr std::size_t kMaxRelayedBytes = 6U << 10U;
+// Changes sent to one neighbour that cannot read them; limited by the size of a
+// datagram.
+constexpr std::size_t kMaxAnswerBytes = 15U << 10U;
 // Two failed checks of the load balancer, one per second, and a margin.
 constexpr Duration kAcceptAfterDrain = std::chrono::milliseconds(3000);
 // Margin between the end of the last request and the platform's SIGKILL.
@@ -65,6 +68,9 @@
            },
            [this](Instant now) { this->neighbours.OnLinearizableRead(now); },
            [this](Instant now) { this->neighbours.OnChangesRead(now); },
+           [this](Instant now, const MissingChanges& missing) {
+             this->RequestChanges(now, missing);
+           },
            [this](Instant now) { this->LogStoreRestored(now); }},
           &this->store),
       workers(
@@ -86,6 +92,9 @@
            },
            [this](Instant now) { this->neighbours.OnLinearizableRead(now); },
            [this](Instant now) { this->neighbours.OnChangesRead(now); },
+           [this](Instant now, const MissingChanges& missing) {
+             this->RequestChanges(now, missing);
+           },
            [this](Instant now) {
              this->LogStoreRestored(now);
              this->directory.OnStoreRestored(now);
@@ -153,6 +162,14 @@
     }
     return changes;
   };
+  hooks.changes_since = [this](const MissingChanges& missing) {
+    for (const KindWatch* watch : {&this->deployments, &this->workers}) {
+      if (watch->Kind() == missing.kind) {
+        return watch->ChangesSince(missing, kMaxAnswerBytes);
+      }
+    }
+    return std::optional<KindChanges>();
+  };
   hooks.local_removal_delay = [this](Instant now) {
     return this->directory.RemovalDelay(now);
   };
@@ -302,6 +319,15 @@
              {"latency_ms", MillisecondsText(this->store.Health().latency)}});
 }
 
+void GatewayHost::RequestChanges(Instant now, const MissingChanges& missing) {
+  this->Log(LogLevel::kInfo, "changes requested from a neighbour",
+            {{"kind", missing.kind},
+             {"revision", std::to_string(missing.revision)},
+             {"configuration_age_ms", AgeText(this->deployments, now)},
+             {"registrations_age_ms", AgeText(this->workers, now)}});
+  this->neighbours.RequestChanges(now, missing);
+}
+
 void GatewayHost::LogStoreRestored(Instant now) {
   this->Log(LogLevel::kWarning, "metadata store restored from an older copy",
             {{"configuration_age_ms", AgeText(this->deployments, now)}});
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -74,8 +74,12 @@
   /// Changes in the metadata store that the sender has read. A message with
   /// changes carries nothing else.
   std::vector<KindChanges> changes;
-  /// Sent with reads and changes: how long the sender delays removals of workers, whose
-  /// registrations may have expired during an outage of the store.
+  /// Changes that the sender misses and cannot read itself. The receiver sends
+  /// them back if it has them.
+  std::optional<MissingChanges> missing;
+  /// Sent with reads and changes: how long the sender delays removals of
+  /// workers, whose registrations may have expired during an outage of the
+  /// store.
   Duration removal_delay{0};
 };
 
--- a/src/neighbours/detail/neighbours.h
+++ b/src/neighbours/detail/neighbours.h
@@ -42,6 +42,9 @@
       neighbour_read;
   /// Returns the latest changes in the metadata store that this host has read.
   std::function<std::vector<KindChanges>(Instant)> local_changes;
+  /// Returns the changes that a neighbour misses, if this host has them.
+  std::function<std::optional<KindChanges>(const MissingChanges&)>
+      changes_since;
   /// Returns how long this host delays removals of workers.
   std::function<Duration(Instant)> local_removal_delay;
   /// Called before the reads and changes of a neighbour, with its delay of
@@ -84,6 +87,9 @@
   /// @brief Sends changes in the metadata store with the next Tick.
   void OnChangesRead(Instant now) { this->next_changes = now; }
 
+  /// @brief Asks one neighbour, a different one each time, for changes.
+  void RequestChanges(Instant now, const MissingChanges& missing);
+
   /// @return the number of neighbours with a lower id; nullopt without
   /// neighbours
   std::optional<std::size_t> Rank() const;
@@ -130,6 +136,7 @@
                    const std::vector<AdvertisedRead>& reads);
   void SendReadsToNewNeighbours(Instant now);
   void SendChanges(Instant now);
+  void AnswerRequest(Instant now, const NeighbourMessage& request);
   void HandleLinearizableReads(Instant now, const NeighbourMessage& message);
   /// @param include_received also returns workers that neighbours reported
   std::vector<LeavingWorker> LeavingWorkers(Instant now,
@@ -154,6 +161,7 @@
   /// Hosts that have just started and know no read yet.
   std::set<HostId> new_neighbours;
   std::uint64_t sequence = 0;
+  HostId last_asked;  ///< for changes
   Instant next_state{};
   Instant next_request{};
   Instant next_domain_loads{};
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -144,6 +144,18 @@
   return reads;
 }
 
+MissingChanges ReadMissing(const Json& row, Reader* reader) {
+  constexpr std::size_t kColumns = 3;
+  MissingChanges missing;
+  reader->valid = reader->valid && row.is_array() && row.size() == kColumns;
+  if (reader->valid) {
+    missing.kind = reader->Text(row[0]);
+    missing.era = reader->Number(row[1], UINT64_MAX);
+    missing.revision = reader->Number(row[2], UINT64_MAX);
+  }
+  return missing;
+}
+
 std::vector<WorkerLoad> ReadLoads(const Json& root, const char* member,
                                   Reader* reader) {
   std::vector<WorkerLoad> loads;
@@ -197,6 +209,10 @@
   if (!message.changes.empty()) {
     root["changes"] = EncodeChanges(message.changes);
   }
+  if (message.missing.has_value()) {
+    root["missing"] = {message.missing->kind, message.missing->era,
+                       message.missing->revision};
+  }
   if (message.echo_ms.has_value() || !message.changes.empty()) {
     root["removal_delay_ms"] =
         std::chrono::ceil<std::chrono::milliseconds>(message.removal_delay)
@@ -265,6 +281,9 @@
   if (root.contains("changes")) {
     message.changes = ReadChanges(root, &reader);
   }
+  if (root.contains("missing")) {
+    message.missing = ReadMissing(root["missing"], &reader);
+  }
   if (root.contains("echo_ms") || root.contains("changes")) {
     message.removal_delay = std::chrono::milliseconds(
         reader.Member(root, "removal_delay_ms", kMaxAgeMs));
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -144,8 +144,12 @@
   for (const KindChanges& changes : message.changes) {
     this->hooks.neighbour_changes(now, changes);
   }
-  const bool carries_state =
-      !message.echo_ms.has_value() && message.changes.empty();
+  if (message.missing.has_value()) {
+    this->AnswerRequest(now, message);
+  }
+  const bool carries_state = !message.echo_ms.has_value() &&
+                             message.changes.empty() &&
+                             !message.missing.has_value();
   if (outdated || !carries_state) {
     return true;
   }
@@ -250,6 +254,32 @@
   }
 }
 
+void Neighbours::RequestChanges(Instant now, const MissingChanges& missing) {
+  if (this->neighbours.empty()) {
+    return;
+  }
+  auto next = this->neighbours.upper_bound(this->last_asked);
+  if (next == this->neighbours.end()) {
+    next = this->neighbours.begin();
+  }
+  this->last_asked = next->first;
+  NeighbourMessage message = this->MakeMessage(now, false);
+  message.missing = missing;
+  this->SendTo(next->second.address, message);
+}
+
+void Neighbours::AnswerRequest(Instant now, const NeighbourMessage& request) {
+  std::optional<KindChanges> changes =
+      this->hooks.changes_since(*request.missing);
+  if (!changes.has_value()) {
+    return;
+  }
+  NeighbourMessage message = this->MakeMessage(now, false);
+  message.changes.push_back(*std::move(changes));
+  message.removal_delay = this->hooks.local_removal_delay(now);
+  this->SendTo(request.address, message);
+}
+
 void Neighbours::HandleLinearizableReads(Instant now,
                                          const NeighbourMessage& message) {
   if (!message.echo_ms.has_value() || !this->first_message_at.has_value()) {
--- a/src/neighbours/tests/neighbours_test.cc
+++ b/src/neighbours/tests/neighbours_test.cc
@@ -61,6 +61,11 @@
       member.received_read_at = sent_at;
     };
     hooks.local_changes = [&member](Instant) { return member.changes; };
+    hooks.changes_since = [&member](const MissingChanges& missing) {
+      const bool has = !member.changes.empty() && missing.revision >= 7;
+      return has ? std::optional<KindChanges>(member.changes.front())
+                 : std::nullopt;
+    };
     hooks.local_removal_delay = [](Instant) { return milliseconds(700); };
     hooks.neighbour_removal_delay = [&member](Instant, Duration delay) {
       member.received_delay = delay;
@@ -242,6 +247,24 @@
   CHECK(remote.received_changes.empty());
 }
 
+TEST_CASE(
+    "neighbours, changes requested, arrive from the first host that has "
+    "them",
+    "[neighbours]") {
+  Simulation simulation;
+  Simulation::Member& asking = simulation.Add("asking", "east");
+  simulation.Add("seed-1", "east");
+  Simulation::Member& other = simulation.Add("seed-2", "east");
+  simulation.Advance(seconds(3));
+  other.changes = {{"workers", 2, 7, 9, {}}};
+  for (int i = 0; i < 2; ++i) {
+    asking.host->RequestChanges(simulation.now, {"workers", 2, 7});
+    simulation.Advance(milliseconds(20));
+  }
+  REQUIRE(asking.received_changes.size() == 1);
+  CHECK(asking.received_changes.front().to == 9);
+}
+
 TEST_CASE(
     "neighbours, a host starts, receives the last read of the leader within "
     "200 ms",
--- a/tests/hosts/store_readers_test.cc
+++ b/tests/hosts/store_readers_test.cc
@@ -440,6 +440,30 @@
   CHECK(this->CurrentHosts() == count);
 }
 
+TEST_CASE_METHOD(StoreReadersFixture,
+                 "store readers, a third of the hosts cut off from the store "
+                 "while keys change, all stay ready with the new configuration",
+                 "[gateway][scale]") {
+  const std::size_t count = 48;
+  this->AddHosts(count);
+  this->Advance(seconds(8));
+  std::size_t index = 0;
+  for (auto& [name, member] : this->members) {
+    member.is_cut_off = (index++ / kDomains) % 3 == 0;  // leaders too
+  }
+  // Too large to be relayed to all neighbours.
+  const std::string padding(9000, ' ');
+  for (int version = 2; version < 11; ++version) {
+    this->store.Write("deployments", "main", std::to_string(version) + padding);
+    this->Advance(seconds(1));
+    CHECK(this->ReadyHosts() == count);
+  }
+  this->Advance(seconds(2));
+  for (const auto& [name, member] : this->members) {
+    CHECK(member.configuration == 10);
+  }
+}
+
 TEST_CASE_METHOD(StoreReadersFixture,
                  "store readers, registrations expire during an outage and "
                  "return, no host removes a live worker",
