Relay changes from readers only, and encode each message once

Cause: a follower that read an announced configuration from the store sent it on to all neighbours, three times. At 49 hosts a domain each configuration made some 7,000 messages a domain.

Change: only leader and standby relay, and a follower that finds what nobody announced. A message holds the kind that changed, the changes of the last 0.45 s, and no contents of deleted objects; the standby waits twice as long between changes. A message to all neighbours is encoded once.

--- a/src/discovery/detail/kind_watch.h
+++ b/src/discovery/detail/kind_watch.h
@@ -239,6 +239,7 @@
   std::deque<HistoryPart> history;     ///< of the latest changes
   Instant repeat_at = kNever;          ///< when to relay them once more
   int repeats_left = 0;
+  Duration relay_span{0};  ///< age of the changes to relay
   WatchRole role = WatchRole::kIndependent;
   Instant started_at{};
   std::optional<Instant> fresh_at;
--- a/src/discovery/kind_watch.cc
+++ b/src/discovery/kind_watch.cc
@@ -26,12 +26,14 @@
 // from the standby; after this time, spread over the hosts, the store is read.
 constexpr Duration kMinMissingDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxMissingDelay = std::chrono::milliseconds(300);
-// Covers several lost messages of a leader that relays changes each 400 ms, and
-// the repetitions below.
+// Changes are sent with those of the previous message, which may have been
+// lost; the repetitions below go further back.
+constexpr Duration kRelaySpan = std::chrono::milliseconds(450);
 constexpr Duration kHistoryLength = std::chrono::milliseconds(2500);
 // The last changes before a quiet time are relayed again: the hosts that lost
-// them may not reach the store.
-constexpr Duration kFirstRepeat = std::chrono::milliseconds(500);
+// them may not reach the store. Longer than the intervals between changes that
+// are relayed anyway.
+constexpr Duration kFirstRepeat = std::chrono::milliseconds(1000);
 constexpr Duration kNextRepeat = std::chrono::milliseconds(1000);
 constexpr int kRepeats = 2;
 
@@ -243,6 +245,11 @@
   }
   this->revision = std::max(this->revision, to);
   if (applied) {
+    for (ObjectRecord& record : records) {
+      if (record.deleted) {
+        record.bytes.clear();
+      }
+    }
     this->changed_at = std::max(this->changed_at, to);
     this->history.push_back({now, from, this->revision, std::move(records)});
     while (now - this->history.front().read_at > kHistoryLength) {
@@ -256,11 +263,18 @@
 }
 
 void KindWatch::HandleChanges(Instant now, StoreResult* result) {
+  // A follower reads what was announced to all; only the others, and a follower
+  // that finds what nobody announced, tell their neighbours. Otherwise each
+  // large change would be sent by each host to each other one.
+  const std::uint64_t announced = this->missing_revision;
   const bool applied =
       this->ApplyRecords(now, std::move(result->records), result->revision);
-  if (applied) {
+  const bool relays =
+      this->role != WatchRole::kFollower || this->changed_at > announced;
+  if (applied && relays) {
     this->repeats_left = kRepeats;
     this->repeat_at = now + kFirstRepeat;
+    this->relay_span = kRelaySpan;
     this->Relay(now);
   }
   if (this->linearizable) {
@@ -269,7 +283,9 @@
   this->ApplyPendingRead(now);
   if (applied && this->settings.batch_delay > Duration{0} &&
       this->role != WatchRole::kFollower) {
-    this->next_call = now + this->settings.batch_delay;
+    // The standby leaves most changes to the leader.
+    const int factor = this->role == WatchRole::kStandby ? 2 : 1;
+    this->next_call = now + factor * this->settings.batch_delay;
   } else {
     this->ScheduleNext(now);
   }
@@ -416,7 +432,8 @@
   while (first != this->history.begin()) {
     const HistoryPart& part = *std::prev(first);
     size += SizeOf(part.records);
-    const bool fits = size <= max_bytes && now - part.read_at <= kHistoryLength;
+    const bool fits =
+        size <= max_bytes && now - part.read_at <= this->relay_span;
     // The parts form one span, so they must follow on each other.
     if (!fits || part.to != changes.from) {
       break;
@@ -467,6 +484,7 @@
   if (this->repeat_at <= now) {
     --this->repeats_left;
     this->repeat_at = this->repeats_left > 0 ? now + kNextRepeat : kNever;
+    this->relay_span = kHistoryLength;
     this->Relay(now);
   }
   if (this->next_call > now) {
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "gateway/detail/forwarding.h"
@@ -66,6 +67,8 @@
   std::string RenderRequests(Instant now) const;
   void LogStoreMode();
   void LogStoreRestored(Instant now);
+  /// @brief Sends the latest changes of a kind to the neighbours.
+  void Relay(Instant now, const KindWatch& watch);
   void RequestChanges(Instant now, const MissingChanges& missing);
   void Log(LogLevel level, std::string message, std::vector<LogField> fields);
 
@@ -82,6 +85,7 @@
   Neighbours neighbours;
   Actions actions;
   StoreMode logged_mode = StoreMode::kNormal;
+  std::set<std::string> kinds_to_relay;
   WatchRole logged_role = WatchRole::kIndependent;
   bool logged_ready = false;
   std::optional<Instant> drain_started;
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -70,7 +70,7 @@
              this->ApplyDeployment(now, record);
            },
            [this](Instant now) { this->neighbours.OnLinearizableRead(now); },
-           [this](Instant now) { this->neighbours.OnChangesRead(now); },
+           [this](Instant now) { this->Relay(now, this->deployments); },
            [this](Instant now, const MissingChanges& missing) {
              this->RequestChanges(now, missing);
            },
@@ -95,7 +95,7 @@
              this->ApplyRegistration(now, record);
            },
            [this](Instant now) { this->neighbours.OnLinearizableRead(now); },
-           [this](Instant now) { this->neighbours.OnChangesRead(now); },
+           [this](Instant now) { this->Relay(now, this->workers); },
            [this](Instant now, const MissingChanges& missing) {
              this->RequestChanges(now, missing);
            },
@@ -163,7 +163,9 @@
   hooks.local_changes = [this](Instant now) {
     std::vector<KindChanges> changes;
     for (const KindWatch* watch : {&this->deployments, &this->workers}) {
-      changes.push_back(watch->RecentChanges(now, kMaxRelayedBytes));
+      if (this->kinds_to_relay.erase(watch->Kind()) > 0) {
+        changes.push_back(watch->RecentChanges(now, kMaxRelayedBytes));
+      }
     }
     return changes;
   };
@@ -332,6 +334,11 @@
              {"latency_ms", MillisecondsText(this->store.Health().latency)}});
 }
 
+void GatewayHost::Relay(Instant now, const KindWatch& watch) {
+  this->kinds_to_relay.insert(watch.Kind());
+  this->neighbours.OnChangesRead(now);
+}
+
 void GatewayHost::RequestChanges(Instant now, const MissingChanges& missing) {
   this->Log(LogLevel::kInfo, "changes requested from a neighbour",
             {{"kind", missing.kind},
--- a/src/neighbours/detail/neighbours.h
+++ b/src/neighbours/detail/neighbours.h
@@ -149,6 +149,7 @@
                                             bool include_received) const;
   void HandleLeaving(Instant now, const LeavingWorker& worker);
   void SendTo(const std::string& address, const NeighbourMessage& message);
+  void SendToNeighbours(const NeighbourMessage& message);
   void SendNeighbourList(Instant now, const NeighbourMessage& request);
   void StoreContact(Instant now, const DomainContact& contact);
   void HandleDomainLoads(Instant now, const NeighbourMessage& message);
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -55,6 +55,13 @@
       PeerSend{HostId{}, address, EncodeNeighbourMessage(message)});
 }
 
+void Neighbours::SendToNeighbours(const NeighbourMessage& message) {
+  const std::string bytes = EncodeNeighbourMessage(message);
+  for (const auto& [host, neighbour] : this->neighbours) {
+    this->actions.emplace_back(PeerSend{HostId{}, neighbour.address, bytes});
+  }
+}
+
 void Neighbours::SendNeighbourList(Instant now,
                                    const NeighbourMessage& request) {
   NeighbourMessage response = this->MakeMessage(now, false);
@@ -207,9 +214,7 @@
   NeighbourMessage relayed = this->MakeMessage(now, false);
   relayed.domain_loads = loads;
   relayed.leaving = message.leaving;
-  for (const auto& [host, neighbour] : this->neighbours) {
-    this->SendTo(neighbour.address, relayed);
-  }
+  this->SendToNeighbours(relayed);
 }
 
 void Neighbours::SendLinearizableReads(Instant now) {
@@ -255,9 +260,7 @@
   NeighbourMessage message = this->MakeMessage(now, false);
   message.changes = this->hooks.local_changes(now);
   message.removal_delay = this->hooks.local_removal_delay(now);
-  for (const auto& [host, neighbour] : this->neighbours) {
-    this->SendTo(neighbour.address, message);
-  }
+  this->SendToNeighbours(message);
 }
 
 void Neighbours::RequestChanges(Instant now, const MissingChanges& missing) {
@@ -283,9 +286,7 @@
   this->last_store_failure = now;
   NeighbourMessage message = this->MakeMessage(now, false);
   message.store_failed = true;
-  for (const auto& [host, neighbour] : this->neighbours) {
-    this->SendTo(neighbour.address, message);
-  }
+  this->SendToNeighbours(message);
 }
 
 void Neighbours::AnswerRequest(Instant now, const NeighbourMessage& request) {
@@ -455,9 +456,7 @@
   NeighbourMessage message = this->MakeMessage(now, false);
   message.worker_loads = this->hooks.local_loads();
   message.leaving = this->LeavingWorkers(now, false);
-  for (const auto& [host, neighbour] : this->neighbours) {
-    this->SendTo(neighbour.address, message);
-  }
+  this->SendToNeighbours(message);
 }
 
 Instant Neighbours::NextWakeup() const {
