--- a/src/discovery/tests/worker_directory_test.cc
+++ b/src/discovery/tests/worker_directory_test.cc
@@ -137,6 +137,10 @@
   this->directory.Remove(this->now, UpstreamId{"a"});
   CHECK(this->directory.HasDeparted(UpstreamId{"a"}, 7));
   CHECK_FALSE(this->directory.HasDeparted(UpstreamId{"a"}, 8));
+  leaving.started_at = 0;  // not told
+  this->directory.Put(leaving);
+  this->directory.Remove(this->now, UpstreamId{"a"});
+  CHECK_FALSE(this->directory.HasDeparted(UpstreamId{"a"}, 0));
   this->directory.OnStoreRestored(this->now);
   this->directory.Remove(this->now, UpstreamId{"b"});
   CHECK(this->AvailableIds() == std::vector<std::string>{"b"});
--- a/src/discovery/worker_directory.cc
+++ b/src/discovery/worker_directory.cc
@@ -48,7 +48,8 @@
   if (found == this->workers.end()) {
     return;
   }
-  if (found->second.leaving) {
+  // Without the time of its start an incarnation cannot be recognized.
+  if (found->second.leaving && found->second.started_at != 0) {
     for (auto it = this->departed.begin(); it != this->departed.end();) {
       it = now - it->second.removed_at > this->settings.departure_lifetime
                ? this->departed.erase(it)
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -259,6 +259,9 @@
   }
   NeighbourMessage message = this->MakeMessage(now, false);
   message.changes = this->hooks.local_changes(now);
+  if (message.changes.empty()) {
+    return;
+  }
   message.removal_delay = this->hooks.local_removal_delay(now);
   this->SendToNeighbours(message);
 }
