Answer a started host at once and do not delay its first read

Cause: a leader sent its last read to a new neighbour only with its next timer, up to a second later, and a standby that had found changes before its first linearizable read waited out the batch delay of 0.8 s.

Change: new neighbours make the next step due at once; the delay after changes ends when a linearizable read is due.

--- a/src/discovery/kind_watch.cc
+++ b/src/discovery/kind_watch.cc
@@ -285,7 +285,8 @@
       this->role != WatchRole::kFollower) {
     // The standby leaves most changes to the leader.
     const int factor = this->role == WatchRole::kStandby ? 2 : 1;
-    this->next_call = now + factor * this->settings.batch_delay;
+    const Instant batched = now + factor * this->settings.batch_delay;
+    this->next_call = std::min(batched, std::max(now, this->NextReadDue(now)));
   } else {
     this->ScheduleNext(now);
   }
--- a/src/discovery/tests/kind_watch_test.cc
+++ b/src/discovery/tests/kind_watch_test.cc
@@ -243,6 +243,17 @@
   CHECK(this->PendingUrl() == "http://store/stale?from=8");
 }
 
+TEST_CASE_METHOD(KindWatchFixture,
+                 "kind watch, changes before the first linearizable read, do "
+                 "not delay it",
+                 "[discovery]") {
+  this->watch.SetBatchDelay(seconds(1));
+  this->Respond(200, "7:a");
+  this->Respond(200, "8:b");
+  this->Advance(milliseconds(300));
+  CHECK(this->PendingUrl() == "http://store/watch?from=8");
+}
+
 TEST_CASE_METHOD(KindWatchFixture, "kind watch, history gone, lists again",
                  "[discovery]") {
   this->Respond(200, "7:ab");
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -463,11 +463,15 @@
 }
 
 Instant Neighbours::NextWakeup() const {
-  return this->settings.address.empty()
-             ? kNever
-             : std::min({this->next_state, this->next_request,
-                         this->next_domain_loads, this->next_linearizable_reads,
-                         this->next_changes});
+  if (this->settings.address.empty()) {
+    return kNever;
+  }
+  if (!this->new_neighbours.empty()) {
+    return Instant{};  // they wait for the reads
+  }
+  return std::min({this->next_state, this->next_request,
+                   this->next_domain_loads, this->next_linearizable_reads,
+                   this->next_changes});
 }
 
 }  // namespace limpetlink
--- a/src/neighbours/tests/neighbours_test.cc
+++ b/src/neighbours/tests/neighbours_test.cc
@@ -303,6 +303,23 @@
   CHECK(host.received_read_at <= leader.read_sent_at);
 }
 
+TEST_CASE("neighbours, first message of a started host, is due at once",
+          "[neighbours]") {
+  Simulation simulation;
+  Simulation::Member& leader = simulation.Add("seed-1", "east");
+  simulation.Add("seed-2", "east");
+  simulation.Advance(seconds(3));
+  CHECK(leader.host->NextWakeup() > simulation.now);
+  NeighbourMessage message;
+  message.host = HostId{"starting"};
+  message.domain = FailureDomainId{"east"};
+  message.address = "starting";
+  message.sequence = 1;
+  leader.host->OnFrame(simulation.now,
+                       {message.host, EncodeNeighbourMessage(message)});
+  CHECK(leader.host->NextWakeup() <= simulation.now);
+}
+
 TEST_CASE("neighbours, ranks, count the neighbours with a lower id",
           "[neighbours]") {
   Simulation simulation;
