Log the shared parts of a prompt with each placement

The caller's metadata now holds the ids of the prompt's parts without the last one, which belongs to the request or its session; 'request placed' lists them.

--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "base/base.h"
@@ -27,6 +28,9 @@
   std::optional<std::uint64_t> prompt_tokens;
   std::optional<std::uint64_t> max_output_tokens;
   std::optional<std::uint64_t> expected_output_tokens;  ///< length hint
+  /// Ids of the prompt's parts in order, without the last one, which belongs to
+  /// this request or its session only.
+  std::vector<std::string> shared_parts;
 };
 
 /// @brief The point at which a migrated stream resumes.
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 namespace limpetlink {
 namespace {
@@ -292,6 +293,7 @@
        {"expected_delay_ms", absl::StrCat(std::lround(choice->delay_ms))},
        {"prompt_tokens", std::to_string(flow->size.prompt_tokens)},
        {"memory_tokens", std::to_string(flow->size.tokens)},
+       {"shared_parts", absl::StrJoin(flow->metadata.shared_parts, ",")},
        {"own_running", std::to_string(choice->own_running)},
        {"others_running", std::to_string(choice->other_hosts.running)},
        {"others_tokens_to_read",
