Quarantine parts of prompts that end engines

A host now asks an engine that cut a stream in its first output whether it has ended, and if so records the parts of the stream's prompt but the last. Hosts tell each other, keyed by the engine's incarnation, so that repeats and several hosts' streams count once. A run with the part that goes on clears it; three crashes without one, not simultaneous, quarantine it. Then its requests are refused at once as not run (request.112, without Retry-After), on first attempts, retries, hedges and moves, and those that wait at engines are withdrawn. A crash that a quarantined part explains doesn't count against the parts beside it. Operators see the parts at /v1/quarantine and release them.

With a tenth of the datagrams lost and hosts started later none arrive after the first seconds. Engines lost by machine, at times all at once, lead to no refusal.

--- a/src/base/detail/error.h
+++ b/src/base/detail/error.h
@@ -42,6 +42,7 @@
   kRequestDeadlineReached,
   kRequestMethodNotAllowed,
   kRequestNotAllowed,
+  kRequestQuarantined,
   kAdmissionQueueFull,
   kAdmissionExpectedWaitTooLong,
   kAdmissionTooLongForModel,
--- a/src/entry/detail/host_metrics.h
+++ b/src/entry/detail/host_metrics.h
@@ -27,6 +27,8 @@
   kMalformedInput,
   kPeerFramesRefused,
   kDocumentsApplied,
+  kEngineCrashes,
+  kQuarantineRefusals,
   kCount,
 };
 
--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -57,6 +57,8 @@
   bool draining = false;            ///< accepts no new work, will terminate
   std::vector<RunningStream> streams;
   std::optional<Duration> terminates_in;  ///< unset if unknown
+  /// Unix milliseconds; identifies the incarnation.
+  std::optional<std::int64_t> started_at;
 };
 
 /// @brief Command to an engine: transfer a stream's KV cache to another worker.
--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -23,8 +23,11 @@
   Headers headers;
   WorkerResponse response;
   std::string body;
-  bool relaying = false;  ///< events are streamed to the caller
-  bool paused = false;    ///< reading is paused: the caller is slow
+  std::optional<Instant> head_at;  ///< when the response head arrived
+  bool resumed = false;            ///< continues a stream of another worker
+  bool has_events = false;         ///< at least one event was relayed
+  bool relaying = false;           ///< events are streamed to the caller
+  bool paused = false;             ///< reading is paused: the caller is slow
 };
 
 /// @brief Phase of a stream migration.
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -17,6 +17,7 @@
 #include "gateway/detail/codec.h"
 #include "gateway/detail/forwarded.h"
 #include "gateway/detail/settings.h"
+#include "quarantine/quarantine.h"
 #include "retries/retries.h"
 
 namespace limpetlink {
@@ -38,6 +39,8 @@
   std::function<void(Instant, const UpstreamId&)> worker_leaving;
   /// Called when the requests of this host at some worker changed.
   std::function<void(Instant)> loads_changed;
+  /// Called when the quarantine received evidence from a request of this host.
+  std::function<void(Instant)> evidence_changed;
 };
 
 /// @brief Drives all open requests from arrival to their complete response.
@@ -45,7 +48,7 @@
  public:
   Forwarding(const GatewaySettings& settings, const GatewayCodec& codec,
              ForwardingHooks hooks, const WorkerDirectory* directory,
-             HostMetrics* metrics);
+             PartQuarantine* quarantine, HostMetrics* metrics);
 
   /// @brief Sends a request to a worker, or refuses it, at once.
   void OnRequest(Instant now, CallerRequest request);
@@ -65,6 +68,10 @@
   void OnLeaving(Instant now, const WorkerRegistration& worker,
                  Instant noticed_at);
 
+  /// @brief Gives up the requests with a quarantined part that wait at engines;
+  /// called when the quarantine has changed.
+  void OnQuarantineChanged(Instant now);
+
   /// @brief Drops the load of a worker that terminated or restarted.
   void RemoveWorker(const UpstreamId& worker) { this->loads.Remove(worker); }
 
@@ -91,11 +98,26 @@
  private:
   enum class TimerKind { kDeadline, kHedge, kMigration };
 
+  enum class ReportPurpose {
+    kLoadPoll,
+    kMigrationPlan,  ///< the worker is leaving
+    kCrashCheck,     ///< whether the worker has ended
+  };
+
+  /// @brief A request that was cut in the first output of its engine.
+  struct SuspectRequest {
+    std::string request_id;
+    std::vector<SuspectPart> parts;
+    std::uint32_t checks = 0;  ///< made of the engine
+  };
+
   /// @brief A call for an engine's report.
   struct ReportCall {
     WorkerRegistration worker;
-    bool leaving = false;  ///< to plan migrations; otherwise a load poll
-    Instant noticed_at{};  ///< that it is leaving, or start of the poll
+    ReportPurpose purpose = ReportPurpose::kLoadPoll;
+    Instant noticed_at{};  ///< start of the poll, or when the host noticed that
+                           ///< the worker is leaving or has ended
+    SuspectRequest suspect;  ///< of a crash check
     int status = 0;
     std::string body;
   };
@@ -149,8 +171,22 @@
   Distance DistanceBetween(const FailureDomainId& from,
                            const FailureDomainId& to) const;
 
+  // Quarantine; in forwarding_quarantine.cc.
+  /// @return why the request may not be sent to an engine, if so
+  std::optional<Problem> CheckQuarantine(Instant now,
+                                         const ForwardedRequest& flow) const;
+  /// @brief Asks a worker whether it has ended, if it cut the request in its
+  /// first output.
+  void CheckForCrash(Instant now, const ForwardedRequest& flow,
+                     const Attempt& attempt, AttemptEnd end);
+  void HandleCrashCheck(Instant now, ReportCall call, HttpEnd end);
+  /// @brief Records that the request's run went on, if it did.
+  void NoteSoundRun(Instant now, const ForwardedRequest& flow,
+                    const Attempt& attempt, bool completed);
+
   // Migration; in forwarding_migration.cc.
-  void RequestReport(const WorkerRegistration& worker, bool leaving,
+  HttpCall MakeReportCall(const WorkerRegistration& worker);
+  void RequestReport(const WorkerRegistration& worker, ReportPurpose purpose,
                      Instant noticed_at);
   /// @return number of engines in this failure domain
   std::size_t RequestLoadReports(Instant now);
@@ -190,6 +226,7 @@
   const GatewayCodec& codec;
   ForwardingHooks hooks;
   const WorkerDirectory* directory;
+  PartQuarantine* quarantine;
   HostMetrics* metrics;
   LoadTable loads;
   HedgeDelays hedge_delays;
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -65,8 +65,14 @@
                    Duration age);
   void ServeOperator(Instant now, const CallerRequest& request);
   std::string RenderRequests(Instant now) const;
+  std::string RenderQuarantine(Instant now) const;
+  /// @brief Ends the suspicion against a part, on all hosts.
+  /// @return false if the part is not suspect
+  bool ReleasePart(Instant now, const std::string& id);
   void LogStoreMode();
   void LogStoreRestored(Instant now);
+  /// @brief Logs changes of the quarantine, and withdraws requests.
+  void UpdateQuarantine(Instant now);
   /// @brief Sends the latest changes of a kind to the neighbours.
   void Relay(Instant now, const KindWatch& watch);
   void RequestChanges(Instant now, const MissingChanges& missing);
@@ -81,12 +87,15 @@
   WorkerDirectory directory;
   KindWatch deployments;
   KindWatch workers;
+  PartQuarantine quarantine;
   Forwarding forwarding;
   Neighbours neighbours;
   Actions actions;
   StoreMode logged_mode = StoreMode::kNormal;
   std::set<std::string> kinds_to_relay;
   WatchRole logged_role = WatchRole::kIndependent;
+  bool quarantine_changed = false;
+  std::set<std::string> logged_quarantine;
   bool logged_ready = false;
   std::optional<Instant> drain_started;
   bool accepts_callers = true;
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -34,11 +34,13 @@
 
 Forwarding::Forwarding(const GatewaySettings& settings,
                        const GatewayCodec& codec, ForwardingHooks hooks,
-                       const WorkerDirectory* directory, HostMetrics* metrics)
+                       const WorkerDirectory* directory,
+                       PartQuarantine* quarantine, HostMetrics* metrics)
     : settings(settings),
       codec(codec),
       hooks(std::move(hooks)),
       directory(directory),
+      quarantine(quarantine),
       metrics(metrics),
       loads(settings.seed),
       random(settings.seed + 1) {}
@@ -156,6 +158,10 @@
     return Problem{ErrorCode::kHostShuttingDown, Outcome::kNotRun,
                    "the stream may outlast this host", kOtherHostRetryAfter};
   }
+  if (std::optional<Problem> problem = this->CheckQuarantine(now, *flow)) {
+    this->metrics->Add(Counter::kQuarantineRefusals);
+    return problem;
+  }
   return std::nullopt;
 }
 
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -44,16 +44,21 @@
       !service->engine->supports_migration) {
     return;
   }
-  this->RequestReport(worker, true, noticed_at);
+  this->RequestReport(worker, ReportPurpose::kMigrationPlan, noticed_at);
 }
 
-void Forwarding::RequestReport(const WorkerRegistration& worker, bool leaving,
-                               Instant noticed_at) {
+HttpCall Forwarding::MakeReportCall(const WorkerRegistration& worker) {
   HttpCall call = this->codec.report_call();
   call.id = this->hooks.next_call_id();
   call.url = "http://" + worker.address + call.url;
   call.connect_timeout = kCommandConnectTimeout;
-  this->reports[call.id.value] = {worker, leaving, noticed_at, 0, {}};
+  return call;
+}
+
+void Forwarding::RequestReport(const WorkerRegistration& worker,
+                               ReportPurpose purpose, Instant noticed_at) {
+  HttpCall call = this->MakeReportCall(worker);
+  this->reports[call.id.value] = {worker, purpose, noticed_at, {}, 0, {}};
   this->actions.emplace_back(std::move(call));
 }
 
@@ -81,7 +86,7 @@
       }
       ++nearby;
       if (!has_pending_report(worker->id)) {
-        this->RequestReport(*worker, false, now);
+        this->RequestReport(*worker, ReportPurpose::kLoadPoll, now);
       }
     }
   }
@@ -147,12 +152,18 @@
 bool Forwarding::OnMigrationDone(Instant now, const HttpDone& done) {
   if (const auto report = this->reports.find(done.id.value);
       report != this->reports.end()) {
-    const ReportCall call = std::move(report->second);
+    ReportCall call = std::move(report->second);
     this->reports.erase(report);
-    if (call.leaving) {
-      this->HandleStreamReport(now, call);
-    } else {
-      this->HandleLoadReport(now, call);
+    switch (call.purpose) {
+      case ReportPurpose::kLoadPoll:
+        this->HandleLoadReport(now, call);
+        break;
+      case ReportPurpose::kMigrationPlan:
+        this->HandleStreamReport(now, call);
+        break;
+      case ReportPurpose::kCrashCheck:
+        this->HandleCrashCheck(now, std::move(call), done.end);
+        break;
     }
     return true;
   }
@@ -466,8 +477,14 @@
         "the stream's worker terminated and no KV transfer can be resumed");
     return;
   }
+  if (this->CheckQuarantine(now, *flow).has_value()) {
+    this->AbortStream(now, flow->request.id.value,
+                      "a part of the prompt is quarantined");
+    return;
+  }
   flow->events.DropPartial();
   Attempt attempt;
+  attempt.resumed = true;
   attempt.call = this->hooks.next_call_id();
   attempt.worker = target;
   attempt.sent = now;
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -51,6 +51,7 @@
     return this->OnMigrationHead(head);
   }
   attempt->status = head.status;
+  attempt->head_at = now;
   attempt->headers = head.headers;
   this->loads.RecordFirstByte(attempt->worker, flow->size);
   this->hooks.loads_changed(now);
@@ -113,6 +114,8 @@
       this->metrics->Record(Timing::kBetweenTokens, pause);
     }
     flow->last_event = now;
+    attempt->has_events = true;
+    this->NoteSoundRun(now, *flow, *attempt, false);
     this->metrics->Add(Counter::kTokensDelivered, split.count);
     flow->buffered += split.complete.size();
     this->actions.emplace_back(ReplyBody{id, std::move(split.complete)});
@@ -211,6 +214,8 @@
     this->hedge_delays.Observe(flow.service, flow.route->name,
                                now - attempt.sent);
   }
+  this->NoteSoundRun(now, flow, attempt, end == AttemptEnd::kAnswered);
+  this->CheckForCrash(now, flow, attempt, end);
   if (!this->DeferToMigration(now, &flow, attempt, end)) {
     this->ProceedAfterAttempt(now, id, attempt, end);
   }
@@ -235,7 +240,9 @@
       flow.connect_failures < kMaxConnectFailures &&
       flow.deadline - now >= kMinTimeToSend;
   context.budget_available = budget.Left(now) >= 1.0;
-  context.worker_available = this->ChooseWorker(now, flow).has_value();
+  const std::optional<Problem> quarantined = this->CheckQuarantine(now, flow);
+  context.worker_available =
+      !quarantined.has_value() && this->ChooseWorker(now, flow).has_value();
   const NextStep step = DecideNextStep(context);
   if (end != AttemptEnd::kAnswered) {
     this->Log(LogLevel::kInfo, "attempt failed",
@@ -262,6 +269,11 @@
     case NextStep::kWaitForOther:
       return;
     case NextStep::kRefuse:
+      if (quarantined.has_value()) {
+        this->metrics->Add(Counter::kQuarantineRefusals);
+        this->Refuse(now, id, *quarantined);
+        return;
+      }
       this->Refuse(
           now, id,
           {ErrorCode::kUpstreamRefused, Outcome::kNotRun,
@@ -425,7 +437,8 @@
                         flow->running.front().status == 0 &&
                         flow->possible_runs < flow->route->max_attempts &&
                         flow->deadline - now >= kMinTimeToSend;
-  if (!eligible || !this->ChooseWorker(now, *flow).has_value() ||
+  if (!eligible || this->CheckQuarantine(now, *flow).has_value() ||
+      !this->ChooseWorker(now, *flow).has_value() ||
       !this->BudgetOf(flow->service).Spend(now)) {
     return;
   }
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/strings/str_join.h"
+
 namespace limpetlink {
 namespace {
 
@@ -121,8 +123,12 @@
            [this](Instant now, const UpstreamId& id) {
              this->MarkLeaving(now, id, "the worker", Duration{0});
            },
-           [this](Instant now) { this->neighbours.OnStateChanged(now); }},
-          &this->directory, &this->metrics),
+           [this](Instant now) { this->neighbours.OnStateChanged(now); },
+           [this](Instant now) {
+             this->neighbours.OnEvidenceChanged(now);
+             this->quarantine_changed = true;
+           }},
+          &this->directory, &this->quarantine, &this->metrics),
       neighbours({this->settings.self, this->settings.failure_domain,
                   this->settings.neighbour_address, this->settings.seeds},
                  this->MakeNeighbourHooks()) {}
@@ -201,6 +207,14 @@
     this->forwarding.Loads().ApplyDomainLoads(now, received.domain,
                                               received.loads);
   };
+  hooks.local_evidence = [this](Instant now, bool include_received) {
+    return this->quarantine.Export(now, include_received);
+  };
+  hooks.remote_evidence = [this](Instant now, const CrashEvidence& evidence) {
+    const bool is_new = this->quarantine.Merge(now, evidence);
+    this->quarantine_changed = this->quarantine_changed || is_new;
+    return is_new;
+  };
   hooks.domain_lost = [this](const FailureDomainId& domain) {
     this->Log(LogLevel::kInfo, "failure domain silent",
               {{"domain", domain.value}});
@@ -334,6 +348,34 @@
              {"latency_ms", MillisecondsText(this->store.Health().latency)}});
 }
 
+void GatewayHost::UpdateQuarantine(Instant now) {
+  std::set<std::string> parts;
+  for (const QuarantinedPart& part : this->quarantine.Quarantined(now)) {
+    parts.insert(part.id);
+    if (this->logged_quarantine.count(part.id) > 0) {
+      continue;
+    }
+    std::vector<std::string> engines;
+    for (const UpstreamId& engine : part.engines) {
+      engines.push_back(engine.value);
+    }
+    this->Log(LogLevel::kWarning, "prompt part quarantined",
+              {{"part", part.id},
+               {"crashes", std::to_string(part.crashes)},
+               {"engines", absl::StrJoin(engines, ",")},
+               {"last_crash_ms_ago", MillisecondsText(part.last_crash_age)}});
+  }
+  for (const std::string& part : this->logged_quarantine) {
+    if (parts.count(part) == 0) {
+      this->Log(LogLevel::kWarning, "prompt part released", {{"part", part}});
+    }
+  }
+  if (parts != this->logged_quarantine) {
+    this->logged_quarantine = std::move(parts);
+    this->forwarding.OnQuarantineChanged(now);
+  }
+}
+
 void GatewayHost::Relay(Instant now, const KindWatch& watch) {
   this->kinds_to_relay.insert(watch.Kind());
   this->neighbours.OnChangesRead(now);
@@ -488,6 +530,14 @@
   } else if (request.path == "/v1/requests") {
     type = "application/json";
     body = this->RenderRequests(now);
+  } else if (request.path == "/v1/quarantine") {
+    type = "application/json";
+    body = this->RenderQuarantine(now);
+  } else if (request.path == "/v1/quarantine/release" &&
+             request.method == "POST") {
+    const bool released = this->ReleasePart(now, request.body);
+    status = released ? 200 : 404;
+    body = released ? "released\n" : "no such part\n";
   } else if (request.path != "/healthz") {
     status = 404;
     body = "no such page\n";
@@ -516,9 +566,39 @@
   return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::string GatewayHost::RenderQuarantine(Instant now) const {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const QuarantinedPart& part : this->quarantine.Quarantined(now)) {
+    nlohmann::json engines = nlohmann::json::array();
+    for (const UpstreamId& engine : part.engines) {
+      engines.push_back(engine.value);
+    }
+    rows.push_back({{"part", part.id},
+                    {"crashes", part.crashes},
+                    {"last_crash_seconds_ago", ToSeconds(part.last_crash_age)},
+                    {"engines", std::move(engines)}});
+  }
+  const nlohmann::json page = {{"parts", std::move(rows)}};
+  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+bool GatewayHost::ReleasePart(Instant now, const std::string& id) {
+  if (!this->quarantine.RecordSound(now, id)) {
+    return false;
+  }
+  this->Log(LogLevel::kWarning, "prompt part released by an operator",
+            {{"part", id}});
+  this->neighbours.OnEvidenceChanged(now);
+  this->quarantine_changed = true;
+  return true;
+}
+
 Actions GatewayHost::Collect(Instant now) {
   this->latest = std::max(this->latest, now);
   this->HandleStoreResults(now);
+  if (std::exchange(this->quarantine_changed, false)) {
+    this->UpdateQuarantine(now);
+  }
   if (this->drain_started.has_value()) {
     const Duration since = now - *this->drain_started;
     this->accepts_callers = since < kAcceptAfterDrain;
--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <sstream>
 
 namespace limpetlink::testing {
 namespace {
@@ -60,6 +61,11 @@
     metadata.prompt_tokens = claimed_prompt_tokens;
     metadata.max_output_tokens = 900;
     metadata.expected_output_tokens = 10;  // a far too short length hint
+    std::istringstream parts(GatewayFixture::HeaderOf(headers, "parts"));
+    std::string part;
+    while (std::getline(parts, part, ',')) {
+      metadata.shared_parts.push_back(part);
+    }
     return metadata;
   };
   codec.worker_headers = [](const Headers& headers,
@@ -107,6 +113,9 @@
   codec.report = [](const std::string& body) -> absl::StatusOr<EngineReport> {
     EngineReport report;
     report.draining = body == "leaving";
+    if (body == "restarted") {
+      report.started_at = 7;
+    }
     return report;
   };
   codec.kv_transfer_result = [](int status, const std::string& body) {
@@ -305,8 +314,23 @@
   }
 }
 
+RequestId GatewayFixture::SendOperatorRequest(const std::string& method,
+                                              const std::string& path,
+                                              const std::string& body) {
+  CallerRequest request;
+  request.id = RequestId{++this->last_request};
+  request.method = method;
+  request.path = path;
+  request.target = path;
+  request.body = body;
+  request.for_operators = true;
+  this->Deliver(request);
+  return RequestId{this->last_request};
+}
+
 RequestId GatewayFixture::SendRequest(const std::string& path,
-                                      const std::string& key) {
+                                      const std::string& key,
+                                      const std::string& parts) {
   CallerRequest request;
   request.id = RequestId{++this->last_request};
   request.method = "POST";
@@ -314,7 +338,8 @@
   request.target = path + "?a=%20b";
   request.headers = {{"Host", "fleet"},
                      {"id", "r" + std::to_string(this->last_request)},
-                     {"key", key}};
+                     {"key", key},
+                     {"parts", parts}};
   request.body = "body";
   this->Deliver(request);
   return RequestId{this->last_request};
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -34,8 +34,14 @@
   void Publish(Deployment next);
 
   /// @brief Sends a request; path "/lookup/", "/order/" or "/stream/".
+  /// @param parts shared parts of the prompt, separated by commas
   RequestId SendRequest(const std::string& path,
-                        const std::string& key = "key-1");
+                        const std::string& key = "key-1",
+                        const std::string& parts = "");
+  /// @brief Sends a request to the operators' address.
+  RequestId SendOperatorRequest(const std::string& method,
+                                const std::string& path,
+                                const std::string& body = "");
   void Disconnect(RequestId id);
 
   /// @brief Moves out the open calls to workers, except for report calls.
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "base/base.h"
 #include "discovery/discovery.h"
+#include "quarantine/quarantine.h"
 #include "routing/routing.h"
 
 namespace limpetlink {
@@ -84,6 +85,8 @@
   /// workers, whose registrations may have expired during an outage of the
   /// store.
   Duration removal_delay{0};
+  /// Sent with the state of a host or domain, after a change and each second.
+  CrashEvidence evidence;
 };
 
 /// @brief Encodes a message as CBOR.
--- a/src/neighbours/detail/neighbours.h
+++ b/src/neighbours/detail/neighbours.h
@@ -59,6 +59,12 @@
   /// Receives the load of another failure domain, which replaces its previous
   /// one.
   std::function<void(Instant, const DomainLoads&)> remote_domain_loads;
+  /// Returns this host's evidence on prompt parts that end engines; with what
+  /// others told it if `include_received`.
+  std::function<CrashEvidence(Instant, bool include_received)> local_evidence;
+  /// Receives the evidence of another host.
+  /// @return whether any of it is new here
+  std::function<bool(Instant, const CrashEvidence&)> remote_evidence;
   /// Called when no loads of a failure domain were received in time.
   std::function<void(const FailureDomainId&)> domain_lost;
 };
@@ -83,6 +89,9 @@
   /// @brief Schedules a state message to the neighbours after a change here.
   void OnStateChanged(Instant now);
 
+  /// @brief Schedules messages with this host's evidence on crashes.
+  void OnEvidenceChanged(Instant now);
+
   /// @brief Advertises a completed linearizable read with the next Tick.
   void OnLinearizableRead(Instant now) { this->next_linearizable_reads = now; }
 
@@ -154,6 +163,9 @@
   void StoreContact(Instant now, const DomainContact& contact);
   void HandleDomainLoads(Instant now, const NeighbourMessage& message);
   void SendDomainLoads(Instant now);
+  /// @return the evidence if it is due, and schedules the next time
+  CrashEvidence TakeDueEvidence(Instant now, Instant* due,
+                                bool include_received);
   void RemoveUnresponsive(Instant now);
   /// @return whether this host sends the domain's loads to other domains
   bool HasLowestId() const;
@@ -173,6 +185,9 @@
   Instant next_state{};
   Instant next_request{};
   Instant next_domain_loads{};
+  Instant next_evidence{};                      ///< to neighbours
+  Instant next_domain_evidence{};               ///< to other domains
+  std::optional<Instant> last_domain_evidence;  ///< from another domain
   Instant next_linearizable_reads = kNever;
   Instant next_changes = kNever;
   std::optional<Instant> first_message_at;  ///< of this process
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -15,6 +15,8 @@
 constexpr std::uint64_t kMaxTokens = 1ULL << 40U;
 constexpr std::uint64_t kMaxAgeMs = 60'000;
 constexpr std::uint64_t kMaxRunning = 1ULL << 20U;
+constexpr std::uint64_t kMaxEvidenceAgeMs = 24ULL * 3600 * 1000;
+constexpr std::uint64_t kMaxDepth = 4096;
 
 /// @brief Reads the members of a message. `valid` becomes false with the first
 /// malformed member.
@@ -173,15 +175,66 @@
   return loads;
 }
 
+std::int64_t InMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+Json EncodeCrashes(const std::vector<EngineCrash>& crashes) {
+  Json rows = Json::array();
+  for (const EngineCrash& crash : crashes) {
+    Json parts = Json::array();
+    for (const SuspectPart& part : crash.parts) {
+      parts.push_back({part.id, part.depth});
+    }
+    rows.push_back({crash.engine.value, crash.started_at,
+                    InMilliseconds(crash.age), std::move(parts)});
+  }
+  return rows;
+}
+
+Json EncodeSoundParts(const std::vector<SoundPart>& sound) {
+  Json rows = Json::array();
+  for (const SoundPart& part : sound) {
+    if (rows.size() == kMaxRows) {
+      break;
+    }
+    rows.push_back({part.id, InMilliseconds(part.age)});
+  }
+  return rows;
+}
+
+CrashEvidence ReadEvidence(const Json& root, Reader* reader) {
+  CrashEvidence evidence;
+  for (const Json& row : reader->Rows(root, "crashes", 4)) {
+    EngineCrash crash;
+    crash.engine.value = reader->Text(row[0]);
+    reader->valid = reader->valid && row[1].is_number_integer();
+    crash.started_at = reader->valid ? row[1].get<std::int64_t>() : 0;
+    crash.age =
+        std::chrono::milliseconds(reader->Number(row[2], kMaxEvidenceAgeMs));
+    for (const Json& part : reader->RowsOf(row[3], 2)) {
+      crash.parts.push_back(
+          {reader->Text(part[0]),
+           static_cast<std::uint32_t>(reader->Number(part[1], kMaxDepth))});
+    }
+    evidence.crashes.push_back(std::move(crash));
+  }
+  for (const Json& row : reader->Rows(root, "sound", 2)) {
+    evidence.sound.push_back(
+        {reader->Text(row[0]),
+         std::chrono::milliseconds(reader->Number(row[1], kMaxEvidenceAgeMs))});
+  }
+  return evidence;
+}
+
 }  // namespace
 
 std::string EncodeNeighbourMessage(const NeighbourMessage& message) {
   Json leaving = Json::array();
   for (const LeavingWorker& worker : message.leaving) {
-    const std::int64_t age_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(worker.age)
-            .count();
-    leaving.push_back({worker.worker.value, worker.started_at, age_ms});
+    leaving.push_back(
+        {worker.worker.value, worker.started_at, InMilliseconds(worker.age)});
   }
   Json neighbours = Json::array();
   for (const NeighbourAddress& neighbour : message.neighbours) {
@@ -225,6 +278,10 @@
     root["loads_of"] = message.domain_loads->domain.value;
     root["loads"] = EncodeLoads(message.domain_loads->loads);
   }
+  if (!message.evidence.Empty()) {
+    root["crashes"] = EncodeCrashes(message.evidence.crashes);
+    root["sound"] = EncodeSoundParts(message.evidence.sound);
+  }
   return EncodeCbor(root);
 }
 
@@ -297,6 +354,9 @@
         DomainLoads{FailureDomainId{reader.Text(root["loads_of"])},
                     ReadLoads(root, "loads", &reader)};
   }
+  if (root.contains("crashes")) {
+    message.evidence = ReadEvidence(root, &reader);
+  }
   if (!reader.valid) {
     return malformed;
   }
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -19,6 +19,9 @@
 // Other domains place requests here only when they lack capacity themselves;
 // 100 ms is a quarter of the time that an engine takes to read a prompt.
 constexpr Duration kDomainLoadsInterval = std::chrono::milliseconds(100);
+// Evidence on crashes makes a message several times larger; it is sent after a
+// change, and at this interval to make up for lost datagrams.
+constexpr Duration kEvidenceInterval = std::chrono::milliseconds(1000);
 constexpr Duration kDomainTimeout = std::chrono::milliseconds(1600);
 constexpr std::size_t kMaxDomains = 32;
 constexpr std::size_t kMaxNeighbours = 64;
@@ -169,6 +172,10 @@
   sender.address = message.address;
   sender.sequence = message.sequence;
   this->hooks.host_loads(now, message.host, message.worker_loads);
+  if (this->hooks.remote_evidence(now, message.evidence)) {
+    this->next_domain_evidence = now;
+    this->next_domain_loads = std::min(this->next_domain_loads, now);
+  }
   for (const LeavingWorker& worker : message.leaving) {
     this->HandleLeaving(now, worker);
   }
@@ -205,6 +212,11 @@
   }
   this->domain_updates[loads.domain] = now;
   this->hooks.remote_domain_loads(now, loads);
+  const bool has_new_evidence =
+      this->hooks.remote_evidence(now, message.evidence);
+  if (!message.evidence.Empty() && message.domain != this->settings.domain) {
+    this->last_domain_evidence = now;
+  }
   for (const LeavingWorker& worker : message.leaving) {
     this->hooks.worker_leaving(now, worker);
   }
@@ -214,6 +226,9 @@
   NeighbourMessage relayed = this->MakeMessage(now, false);
   relayed.domain_loads = loads;
   relayed.leaving = message.leaving;
+  if (has_new_evidence) {
+    relayed.evidence = message.evidence;
+  }
   this->SendToNeighbours(relayed);
 }
 
@@ -345,6 +360,8 @@
   message.domain_loads =
       DomainLoads{this->settings.domain, this->hooks.own_domain_loads()};
   message.leaving = this->LeavingWorkers(now, true);
+  message.evidence =
+      this->TakeDueEvidence(now, &this->next_domain_evidence, true);
   for (const auto& [domain, contact] : this->contacts) {
     this->SendTo(contact.host.address, message);
   }
@@ -387,6 +404,22 @@
                std::max(now, this->last_state_sent + kMinStateInterval));
 }
 
+void Neighbours::OnEvidenceChanged(Instant now) {
+  this->next_evidence = now;
+  this->next_domain_evidence = now;
+  this->next_domain_loads = std::min(this->next_domain_loads, now);
+  this->OnStateChanged(now);
+}
+
+CrashEvidence Neighbours::TakeDueEvidence(Instant now, Instant* due,
+                                          bool include_received) {
+  if (now < *due) {
+    return {};
+  }
+  *due = now + kEvidenceInterval;
+  return this->hooks.local_evidence(now, include_received);
+}
+
 void Neighbours::OnWorkerLeaving(Instant now, const LeavingWorker& worker) {
   this->leaving.push_back({worker, now - worker.age, false});
   this->next_state = std::min(this->next_state, now);
@@ -459,6 +492,12 @@
   NeighbourMessage message = this->MakeMessage(now, false);
   message.worker_loads = this->hooks.local_loads();
   message.leaving = this->LeavingWorkers(now, false);
+  // A host that receives the evidence of other domains repeats it, as what it
+  // relays at once may be lost.
+  const bool is_contact = this->last_domain_evidence.has_value() &&
+                          now - *this->last_domain_evidence < kRequesterTimeout;
+  message.evidence = this->TakeDueEvidence(now, &this->next_evidence,
+                                           is_contact || this->HasLowestId());
   this->SendToNeighbours(message);
 }
 
--- a/src/neighbours/tests/neighbours_test.cc
+++ b/src/neighbours/tests/neighbours_test.cc
@@ -25,6 +25,7 @@
     Duration received_delay{0};
     int store_failures = 0;
     std::vector<std::string> leaving;
+    PartQuarantine quarantine;
     bool is_down = false;
   };
 
@@ -77,6 +78,13 @@
     hooks.neighbour_changes = [&member](Instant, const KindChanges& changes) {
       member.received_changes.push_back(changes);
     };
+    hooks.local_evidence = [&member](Instant now, bool include_received) {
+      return member.quarantine.Export(now, include_received);
+    };
+    hooks.remote_evidence = [&member](Instant now,
+                                      const CrashEvidence& evidence) {
+      return member.quarantine.Merge(now, evidence);
+    };
     hooks.own_domain_loads = [&member] { return member.worker_loads; };
     hooks.remote_domain_loads = [&member](Instant,
                                           const DomainLoads& domain_loads) {
@@ -169,6 +177,46 @@
   CHECK(seed.remote_domains.count("east") == 0);
 }
 
+TEST_CASE(
+    "neighbours, evidence on crashes with 20% of the datagrams lost, reaches "
+    "every host within 4 s and a host that starts later",
+    "[neighbours]") {
+  Simulation simulation;
+  simulation.Add("seed-1", "east");
+  simulation.Add("seed-2", "west");
+  for (int i = 0; i < 10; ++i) {
+    simulation.Add("host-" + std::to_string(i), i % 2 == 0 ? "east" : "west");
+  }
+  simulation.Advance(seconds(8));
+  simulation.loss_rate = 0.2;
+  for (int i = 0; i < 3; ++i) {
+    // Each crash is noticed by another host.
+    Simulation::Member& host =
+        simulation.members.at("host-" + std::to_string(i));
+    host.quarantine.RecordCrash(
+        simulation.now,
+        {UpstreamId{"engine-" + std::to_string(i)}, i, {}, {{"bad", 0}}});
+    host.host->OnEvidenceChanged(simulation.now);
+    simulation.Advance(seconds(1));
+  }
+  simulation.Advance(seconds(4));
+  const auto know = [&simulation] {
+    std::size_t count = 0;
+    for (const auto& [name, member] : simulation.members) {
+      count +=
+          member.quarantine.Find(simulation.now, {"bad"}).has_value() ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(know() == simulation.members.size());
+  for (int i = 0; i < 3; ++i) {
+    simulation.members.at("host-" + std::to_string(i)).is_down = true;
+  }
+  simulation.Add("host-late", "west");
+  simulation.Advance(seconds(4));
+  CHECK(know() == simulation.members.size());
+}
+
 TEST_CASE("neighbours, the leader of a domain fails, another host replaces it",
           "[neighbours]") {
   Simulation simulation;
--- a/tests/hosts/engine_crashes_test.cc
+++ b/tests/hosts/engine_crashes_test.cc
@@ -473,5 +473,72 @@
   }
 }
 
+TEST_CASE(
+    "engine crashes, datagrams are lost and hosts start late, stop "
+    "reaching engines",
+    "[gateway][scale]") {
+  EngineCrashFixture fleet;
+  fleet.AddHosts(24);
+  fleet.Advance(seconds(8));
+  fleet.loss_rate = 0.1;
+  fleet.next_sound = fleet.now;
+  fleet.Advance(seconds(5));
+  fleet.sends_fatal = true;
+  fleet.Advance(seconds(15));
+  for (int i = 0; i < 6; ++i) {
+    fleet.StartHost("host-" + std::to_string(10100 + i),
+                    static_cast<std::size_t>(i));
+  }
+  fleet.Advance(seconds(4));
+  const std::size_t arrivals = fleet.fatal_arrivals.size();
+  fleet.Advance(seconds(15));
+  CHECK(fleet.fatal_arrivals.size() == arrivals);
+  CHECK(fleet.LateArrivals() <= 3);
+}
+
+TEST_CASE_METHOD(EngineCrashFixture,
+                 "engine crashes, a part is quarantined, its requests are "
+                 "refused at once as not run and without a time to return",
+                 "[gateway][scale]") {
+  this->AddHosts(6);
+  this->Advance(seconds(8));
+  this->next_sound = this->now;
+  this->sends_fatal = true;
+  this->Advance(seconds(20));
+  const std::size_t number = this->SendRequest("a," + kFatalPart);
+  const Sent& request = this->sent[number];
+  REQUIRE(request.ended);
+  CHECK(request.status == 503);
+  CHECK(request.body.find("request.112") != std::string::npos);
+  CHECK(request.body.find("not_run") != std::string::npos);
+  CHECK(request.body.find(kFatalPart) != std::string::npos);
+  CHECK(FindHeader(request.headers, "Retry-After") == nullptr);
+}
+
+TEST_CASE(
+    "engine crashes, engines are lost by machine again and again, no "
+    "request is refused for its parts",
+    "[gateway][scale]") {
+  EngineCrashFixture fleet;
+  fleet.AddHosts(12);
+  fleet.Advance(seconds(8));
+  fleet.next_sound = fleet.now;
+  for (int round = 0; round < 12; ++round) {
+    fleet.Advance(milliseconds(2100));
+    std::size_t lost = 0;
+    for (auto& [address, engine] : fleet.engines) {
+      // At times all of them at once.
+      if (engine.is_up && lost++ < (round % 4 == 3 ? kEngines : 3)) {
+        fleet.CrashEngine(&engine);
+      }
+    }
+  }
+  fleet.Advance(seconds(8));
+  for (const EngineCrashFixture::Sent& request : fleet.sent) {
+    CHECK(request.body.find("request.112") == std::string::npos);
+  }
+  CHECK(fleet.ServedShare(fleet.now - seconds(4)) > 0.98);
+}
+
 }  // namespace
 }  // namespace limpetlink
