--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -110,8 +110,10 @@
 struct GatewayCodec {
   std::string deployment_kind;  ///< object kind of the Deployment
   std::string deployment_name;
-  std::string worker_kind;  ///< object kind of worker registrations
-  std::string ready_path;   ///< readiness check of the load balancer
+  std::string worker_kind;        ///< object kind of worker registrations
+  std::string quarantine_kind{};  ///< object kind of quarantined prompt parts;
+                                  ///< empty: they aren't stored
+  std::string ready_path;         ///< readiness check of the load balancer
   std::function<absl::StatusOr<Deployment>(const ObjectRecord&)> deployment;
   std::function<absl::StatusOr<WorkerRegistration>(const ObjectRecord&)> worker;
   std::function<absl::StatusOr<CallerMetadata>(const Headers&)> caller_metadata;
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "gateway/detail/forwarding.h"
+#include "gateway/detail/quarantine_records.h"
 #include "neighbours/neighbours.h"
 
 namespace limpetlink {
@@ -70,7 +71,7 @@
   /// @return false if the part is not suspect
   bool ReleasePart(Instant now, const std::string& id);
   void LogStoreMode();
-  void LogStoreRestored(Instant now);
+  void OnStoreRestored(Instant now);
   /// @brief Logs changes of the quarantine, and withdraws requests.
   void UpdateQuarantine(Instant now);
   /// @brief Sends the latest changes of a kind to the neighbours.
@@ -88,6 +89,7 @@
   KindWatch deployments;
   KindWatch workers;
   PartQuarantine quarantine;
+  QuarantineRecords quarantine_records;
   Forwarding forwarding;
   Neighbours neighbours;
   Actions actions;
@@ -95,6 +97,7 @@
   std::set<std::string> kinds_to_relay;
   WatchRole logged_role = WatchRole::kIndependent;
   bool quarantine_changed = false;
+  Instant next_quarantine_update = kNever;
   std::set<std::string> logged_quarantine;
   bool logged_ready = false;
   std::optional<Instant> drain_started;
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -33,6 +33,7 @@
 constexpr Duration kFailureDelayPerHost = std::chrono::milliseconds(250);
 // Two failed checks of the load balancer, one per second, and a margin.
 constexpr Duration kAcceptAfterDrain = std::chrono::milliseconds(3000);
+constexpr Duration kQuarantineUpdateInterval = std::chrono::milliseconds(1000);
 // Margin between the end of the last request and the platform's SIGKILL.
 constexpr Duration kKillMargin = std::chrono::milliseconds(300);
 
@@ -77,7 +78,7 @@
              this->RequestChanges(now, missing);
            },
            [this](Instant now) { this->neighbours.OnStoreFailure(now); },
-           [this](Instant now) { this->LogStoreRestored(now); }},
+           [this](Instant now) { this->OnStoreRestored(now); }},
           &this->store),
       workers(
           {this->codec.worker_kind,
@@ -103,10 +104,20 @@
            },
            [this](Instant now) { this->neighbours.OnStoreFailure(now); },
            [this](Instant now) {
-             this->LogStoreRestored(now);
+             this->OnStoreRestored(now);
              this->directory.OnStoreRestored(now);
            }},
           &this->store),
+      quarantine_records(
+          this->codec.quarantine_kind, &this->store, &this->quarantine,
+          {[this](Instant now) {
+             this->neighbours.OnEvidenceChanged(now);
+             this->quarantine_changed = true;
+           },
+           [this](const std::string& part, const std::string& reason) {
+             this->Log(LogLevel::kWarning, "quarantine record failed",
+                       {{"part", part}, {"reason", reason}});
+           }}),
       forwarding(
           this->settings, this->codec,
           {[this](Instant now) {
@@ -303,6 +314,10 @@
   this->directory.Tick(now);
   this->forwarding.Tick(now);
   this->neighbours.Tick(now);
+  this->quarantine_records.Tick(now);
+  // Parts are also released by time, and failed writes are repeated.
+  this->quarantine_changed =
+      this->quarantine_changed || this->next_quarantine_update <= now;
   this->UpdateReadSchedule(now);
   return this->Collect(now);
 }
@@ -328,7 +343,8 @@
       this->directory.OnStoreFailure();
     }
     this->deployments.OnResult(now, &result) ||
-        this->workers.OnResult(now, &result);
+        this->workers.OnResult(now, &result) ||
+        this->quarantine_records.OnResult(now, result);
   }
   this->LogStoreMode();
 }
@@ -374,6 +390,11 @@
     this->logged_quarantine = std::move(parts);
     this->forwarding.OnQuarantineChanged(now);
   }
+  if (this->neighbours.Rank().value_or(0) == 0) {
+    this->quarantine_records.Update(now);
+  }
+  this->next_quarantine_update =
+      this->quarantine.HasSuspects() ? now + kQuarantineUpdateInterval : kNever;
 }
 
 void GatewayHost::Relay(Instant now, const KindWatch& watch) {
@@ -390,7 +411,8 @@
   this->neighbours.RequestChanges(now, missing);
 }
 
-void GatewayHost::LogStoreRestored(Instant now) {
+void GatewayHost::OnStoreRestored(Instant now) {
+  this->quarantine_records.OnStoreRestored();
   this->Log(LogLevel::kWarning, "metadata store restored from an older copy",
             {{"configuration_age_ms", AgeText(this->deployments, now)}});
 }
@@ -625,10 +647,11 @@
 }
 
 Instant GatewayHost::NextWakeup() const {
-  Instant next =
-      std::min({this->store.NextWakeup(), this->deployments.NextWakeup(),
-                this->workers.NextWakeup(), this->directory.NextWakeup(),
-                this->forwarding.NextWakeup(), this->neighbours.NextWakeup()});
+  Instant next = std::min(
+      {this->store.NextWakeup(), this->deployments.NextWakeup(),
+       this->workers.NextWakeup(), this->directory.NextWakeup(),
+       this->forwarding.NextWakeup(), this->neighbours.NextWakeup(),
+       this->quarantine_records.NextWakeup(), this->next_quarantine_update});
   if (this->drain_started.has_value()) {
     const Instant end =
         *this->drain_started + this->settings.limits.grace_period - kKillMargin;
--- /dev/null
+++ b/src/gateway/quarantine_records.cc
@@ -0,0 +1,104 @@
+#include "gateway/detail/quarantine_records.h"
+
+#include <set>
+
+#include "quarantine/detail/evidence_json.h"
+
+namespace limpetlink {
+namespace {
+
+constexpr Duration kListRetryInterval = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+void QuarantineRecords::Tick(Instant now) {
+  if (this->kind.empty()) {
+    this->next_list = kNever;
+  }
+  if (this->next_list > now) {
+    return;
+  }
+  this->next_list = kNever;
+  const StoreOp op = this->store->ListRecords(now, this->kind, "", true);
+  this->operations.emplace(op.value, std::string());
+}
+
+void QuarantineRecords::Update(Instant now) {
+  if (this->kind.empty()) {
+    return;
+  }
+  std::set<std::string> quarantined;
+  for (const QuarantinedPart& part : this->quarantine->Quarantined(now)) {
+    quarantined.insert(part.id);
+    if (this->stored.count(part.id) > 0) {
+      continue;
+    }
+    this->stored[part.id] = Record::kWriting;
+    const StoreOp op = this->store->Put(
+        now, {this->kind, part.id},
+        ToJson(this->quarantine->ExportPart(now, part.id)).dump(),
+        WriteCondition::IfAbsent());
+    this->operations.emplace(op.value, part.id);
+  }
+  for (auto& [part, record] : this->stored) {
+    if (record != Record::kStored || quarantined.count(part) > 0) {
+      continue;
+    }
+    record = Record::kDeleting;
+    const StoreOp op =
+        this->store->Delete(now, {this->kind, part}, WriteCondition{});
+    this->operations.emplace(op.value, part);
+  }
+}
+
+bool QuarantineRecords::OnResult(Instant now, const StoreResult& result) {
+  const auto operation = this->operations.find(result.op.value);
+  if (operation == this->operations.end()) {
+    return false;
+  }
+  const std::string part = operation->second;
+  this->operations.erase(operation);
+  if (part.empty()) {
+    if (result.status != StoreStatus::kOk) {
+      this->next_list = now + kListRetryInterval;
+      return true;
+    }
+    for (const ObjectRecord& record : result.records) {
+      this->ApplyRecord(now, record);
+    }
+    return true;
+  }
+  const auto record = this->stored.find(part);
+  if (record == this->stored.end()) {
+    return true;  // the store was restored meanwhile
+  }
+  const bool writing = record->second == Record::kWriting;
+  const bool done = result.status == StoreStatus::kOk ||
+                    result.status == (writing ? StoreStatus::kConflict
+                                              : StoreStatus::kAbsent);
+  if (!done) {
+    this->hooks.record_failed(part, std::string(ToText(result.status)));
+  }
+  // What failed is repeated with the next update.
+  if (writing == done) {
+    record->second = Record::kStored;
+  } else {
+    this->stored.erase(record);
+  }
+  return true;
+}
+
+void QuarantineRecords::ApplyRecord(Instant now, const ObjectRecord& record) {
+  const std::optional<CrashEvidence> evidence = CrashEvidenceFromJson(
+      nlohmann::json::parse(record.bytes, nullptr, false));
+  this->stored[record.name] = Record::kStored;
+  if (!evidence.has_value()) {
+    this->hooks.record_failed(record.name, "unreadable");
+    return;
+  }
+  if (this->quarantine->Merge(now, *evidence)) {
+    this->hooks.evidence_changed(now);
+  }
+}
+
+}  // namespace limpetlink
--- a/src/metadata_store/client.cc
+++ b/src/metadata_store/client.cc
@@ -251,6 +251,9 @@
   call.body = pending->body;
   call.total_timeout = limit;
   AddCondition(pending->condition, &call.headers);
+  if (IsWrite(verb) && this->settings.dialect.adapt_write) {
+    this->settings.dialect.adapt_write(pending->request, &call);
+  }
   this->actions.emplace_back(std::move(call));
 }
 
--- a/src/metadata_store/detail/dialect.h
+++ b/src/metadata_store/detail/dialect.h
@@ -36,6 +36,9 @@
   /// Decodes a response other than 429 and 5xx into the result; may move the
   /// response's body.
   std::function<StoreStatus(StoreVerb, StoreResponse*, StoreResult*)> read;
+  /// Adapts the call of a write, which has the usual method, the object's
+  /// contents as body and its condition as a header. Optional.
+  std::function<void(const StoreRequest&, HttpCall*)> adapt_write{};
 };
 
 /// @brief Returns the dialect of limpetlink's own object API.
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -2,6 +2,7 @@
 
 #include "neighbours/neighbours.h"
 #include "peers/detail/cbor.h"
+#include "quarantine/detail/evidence_json.h"
 
 namespace limpetlink {
 namespace {
@@ -15,8 +16,6 @@
 constexpr std::uint64_t kMaxTokens = 1ULL << 40U;
 constexpr std::uint64_t kMaxAgeMs = 60'000;
 constexpr std::uint64_t kMaxRunning = 1ULL << 20U;
-constexpr std::uint64_t kMaxEvidenceAgeMs = 24ULL * 3600 * 1000;
-constexpr std::uint64_t kMaxDepth = 4096;
 
 /// @brief Reads the members of a message. `valid` becomes false with the first
 /// malformed member.
@@ -180,54 +179,6 @@
       .count();
 }
 
-Json EncodeCrashes(const std::vector<EngineCrash>& crashes) {
-  Json rows = Json::array();
-  for (const EngineCrash& crash : crashes) {
-    Json parts = Json::array();
-    for (const SuspectPart& part : crash.parts) {
-      parts.push_back({part.id, part.depth});
-    }
-    rows.push_back({crash.engine.value, crash.started_at,
-                    InMilliseconds(crash.age), std::move(parts)});
-  }
-  return rows;
-}
-
-Json EncodeSoundParts(const std::vector<SoundPart>& sound) {
-  Json rows = Json::array();
-  for (const SoundPart& part : sound) {
-    if (rows.size() == kMaxRows) {
-      break;
-    }
-    rows.push_back({part.id, InMilliseconds(part.age)});
-  }
-  return rows;
-}
-
-CrashEvidence ReadEvidence(const Json& root, Reader* reader) {
-  CrashEvidence evidence;
-  for (const Json& row : reader->Rows(root, "crashes", 4)) {
-    EngineCrash crash;
-    crash.engine.value = reader->Text(row[0]);
-    reader->valid = reader->valid && row[1].is_number_integer();
-    crash.started_at = reader->valid ? row[1].get<std::int64_t>() : 0;
-    crash.age =
-        std::chrono::milliseconds(reader->Number(row[2], kMaxEvidenceAgeMs));
-    for (const Json& part : reader->RowsOf(row[3], 2)) {
-      crash.parts.push_back(
-          {reader->Text(part[0]),
-           static_cast<std::uint32_t>(reader->Number(part[1], kMaxDepth))});
-    }
-    evidence.crashes.push_back(std::move(crash));
-  }
-  for (const Json& row : reader->Rows(root, "sound", 2)) {
-    evidence.sound.push_back(
-        {reader->Text(row[0]),
-         std::chrono::milliseconds(reader->Number(row[1], kMaxEvidenceAgeMs))});
-  }
-  return evidence;
-}
-
 }  // namespace
 
 std::string EncodeNeighbourMessage(const NeighbourMessage& message) {
@@ -279,8 +230,7 @@
     root["loads"] = EncodeLoads(message.domain_loads->loads);
   }
   if (!message.evidence.Empty()) {
-    root["crashes"] = EncodeCrashes(message.evidence.crashes);
-    root["sound"] = EncodeSoundParts(message.evidence.sound);
+    root["evidence"] = ToJson(message.evidence);
   }
   return EncodeCbor(root);
 }
@@ -354,8 +304,10 @@
         DomainLoads{FailureDomainId{reader.Text(root["loads_of"])},
                     ReadLoads(root, "loads", &reader)};
   }
-  if (root.contains("crashes")) {
-    message.evidence = ReadEvidence(root, &reader);
+  if (const auto found = root.find("evidence"); found != root.end()) {
+    std::optional<CrashEvidence> evidence = CrashEvidenceFromJson(*found);
+    reader.valid = reader.valid && evidence.has_value();
+    message.evidence = std::move(evidence).value_or(CrashEvidence{});
   }
   if (!reader.valid) {
     return malformed;
--- a/src/quarantine/detail/part_quarantine.h
+++ b/src/quarantine/detail/part_quarantine.h
@@ -104,6 +104,10 @@
   /// @param include_received also returns crashes that other hosts noticed
   CrashEvidence Export(Instant now, bool include_received);
 
+  /// @brief Returns the crashes that a quarantined part explains, as far as
+  /// other hosts need them to quarantine it.
+  CrashEvidence ExportPart(Instant now, const std::string& id) const;
+
   /// @return the first quarantined part in the list, or nothing
   std::optional<std::string> Find(Instant now,
                                   const std::vector<std::string>& parts) const;
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -271,6 +271,27 @@
   return evidence;
 }
 
+CrashEvidence PartQuarantine::ExportPart(Instant now,
+                                         const std::string& id) const {
+  CrashEvidence evidence;
+  const auto verdict = this->verdicts.find(id);
+  if (verdict == this->verdicts.end()) {
+    return evidence;
+  }
+  std::optional<Instant> last;
+  for (const Incarnation& incarnation : verdict->second.engines) {
+    const Crash& crash = this->crashes.at(incarnation);
+    const bool counts =
+        !last.has_value() ||
+        crash.at - *last >= this->settings.simultaneous + kAgeResolution;
+    if (counts && evidence.crashes.size() < this->settings.min_crashes) {
+      last = crash.at;
+      evidence.crashes.push_back(this->MakeExport(now, incarnation, crash));
+    }
+  }
+  return evidence;
+}
+
 std::vector<QuarantinedPart> PartQuarantine::Quarantined(Instant now) const {
   std::vector<QuarantinedPart> parts;
   for (const auto& [id, verdict] : this->verdicts) {
