Send a stream to no third engine after two were lost in its first output

Two generations lost before the eighth token now end the stream (streams.101, outcome unknown). Engines that refused, or were never reached, don't count.

--- a/src/streams/detail/stream.h
+++ b/src/streams/detail/stream.h
@@ -24,8 +24,12 @@
   std::uint32_t stall_factor = 40;
   /// Delay before the second resume without progress; doubles with each one.
   Duration resume_backoff{std::chrono::milliseconds(100)};
-  std::uint32_t max_resumes = 5;          ///< consecutive, without a new token
-  std::uint32_t max_generations = 4;      ///< over the lifetime of the stream
+  std::uint32_t max_resumes = 5;      ///< consecutive, without a new token
+  std::uint32_t max_generations = 4;  ///< over the lifetime of the stream
+  /// Generations lost before `first_output_tokens`. The request itself may end
+  /// the engines that answer it.
+  std::uint32_t max_early_losses = 2;
+  std::uint64_t first_output_tokens = 8;
   std::size_t high_buffer_bytes = 65536;  ///< reading pauses above this size
   std::size_t low_buffer_bytes = 16384;   ///< reading resumes at or below it
 };
@@ -136,6 +140,7 @@
   bool may_be_at_worker = false;  ///< the worker may be running it
   bool may_have_run = false;      ///< an earlier generation may have run
   std::uint32_t generations = 0;
+  std::uint32_t early_losses = 0;
   std::uint32_t consecutive_resumes = 0;
   Instant next_resume = kNever;
   Instant last_activity;
--- a/src/streams/stream.cc
+++ b/src/streams/stream.cc
@@ -224,6 +224,9 @@
                                   StreamActions& out) {
   if (reached_worker) {
     this->may_have_run = true;
+    if (this->offset < this->options.first_output_tokens) {
+      ++this->early_losses;
+    }
     out.push_back(
         CancelGeneration{this->current_worker, this->current_generation});
   }
@@ -233,7 +236,9 @@
   this->excluded.push_back(this->current_worker);
   const bool keeps_tokens =
       this->held_tokens > 0 && this->options.on_loss == OnLoss::kEnd;
-  if (keeps_tokens || this->generations >= this->options.max_generations) {
+  const bool gives_up = this->generations >= this->options.max_generations ||
+                        this->early_losses >= this->options.max_early_losses;
+  if (keeps_tokens || gives_up) {
     this->End({ErrorCode::kStreamLost, Outcome::kUnknown,
                "the engine of the stream was lost", std::nullopt},
               out);
--- a/src/streams/tests/stream_test.cc
+++ b/src/streams/tests/stream_test.cc
@@ -124,6 +124,19 @@
   }
 }
 
+TEST_CASE_METHOD(StreamFixture,
+                 "stream, two engines lost in its first output, is not sent to "
+                 "a third") {
+  this->Step(StreamBegin{{"g1"}, {"w1"}});
+  REQUIRE(Find<RequestNewWorker>(this->TickUntilGenerationLost()) != nullptr);
+  this->Step(StreamBegin{{"g2"}, {"w2"}});
+  const StreamActions lost = this->TickUntilGenerationLost();
+  CHECK(Find<RequestNewWorker>(lost) == nullptr);
+  REQUIRE(Find<EndIncomplete>(lost) != nullptr);
+  CHECK(Find<EndIncomplete>(lost)->problem.code == ErrorCode::kStreamLost);
+  CHECK(Find<EndIncomplete>(lost)->problem.outcome == Outcome::kUnknown);
+}
+
 TEST_CASE_METHOD(StreamFixture,
                  "stream, aborted, reports no outcome that may be false") {
   const Problem problem{ErrorCode::kRoutingNoUpstream, Outcome::kNotRun, "",
