Take a worker's word in any response that it leaves

A worker that leaves now says so in all its responses. Hosts read that in reports only, and told it to no neighbour, so a host cut off from the store went on sending to it. The head of every response to a request or report is now read; the first one marks the worker as leaving for its incarnation, plans the moves of its streams and tells the neighbours.

--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -101,6 +101,7 @@
   bool is_signed = false;  ///< carries a worker's signature
   bool not_run = false;    ///< the request didn't run and never will
   bool encoded = false;    ///< the body has a content encoding
+  bool leaving = false;    ///< the worker accepts no new work
   std::optional<LoadReport> load;
 };
 
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -35,7 +35,7 @@
   /// Time until the process must have ended; Duration::max() unless it is
   /// shutting down.
   std::function<Duration(Instant)> time_to_end;
-  /// Called when a worker's own report announces that it is leaving.
+  /// Called when a worker's response or report announces that it is leaving.
   std::function<void(Instant, const UpstreamId&)> worker_leaving;
   /// Called when the requests of this host at some worker changed.
   std::function<void(Instant)> loads_changed;
@@ -192,7 +192,10 @@
   std::size_t RequestLoadReports(Instant now);
   void HandleLoadReport(Instant now, const ReportCall& call);
   bool OnMigrationDone(Instant now, const HttpDone& done);
-  bool OnMigrationHead(const HttpHead& head);
+  bool OnMigrationHead(Instant now, const HttpHead& head);
+  /// @brief Handles what every response of a worker may tell about it.
+  void ApplyWorkerState(Instant now, const UpstreamId& worker,
+                        const WorkerResponse& response);
   bool OnMigrationChunk(const HttpChunk& chunk);
   void HandleStreamReport(Instant now, const ReportCall& call);
   void ScheduleMigration(Instant now, ForwardedRequest* flow,
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -121,10 +121,13 @@
   this->loads.ApplyReport(now, call.worker.id, load);
 }
 
-bool Forwarding::OnMigrationHead(const HttpHead& head) {
+bool Forwarding::OnMigrationHead(Instant now, const HttpHead& head) {
   if (const auto report = this->reports.find(head.id.value);
       report != this->reports.end()) {
     report->second.status = head.status;
+    const UpstreamId worker = report->second.worker.id;
+    this->ApplyWorkerState(now, worker,
+                           this->codec.worker_response(head.headers));
     return true;
   }
   if (const auto found = this->flow_of_migration.find(head.id.value);
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -48,7 +48,7 @@
   ForwardedRequest* flow = nullptr;
   Attempt* attempt = this->FindAttempt(head.id, &flow);
   if (attempt == nullptr) {
-    return this->OnMigrationHead(head);
+    return this->OnMigrationHead(now, head);
   }
   attempt->status = head.status;
   attempt->head_at = now;
@@ -59,6 +59,7 @@
   if (attempt->response.load.has_value()) {
     this->loads.ApplyReport(now, attempt->worker, *attempt->response.load);
   }
+  this->ApplyWorkerState(now, attempt->worker, attempt->response);
   const bool success = head.status >= 200 && head.status < 300;
   const bool wrong_request =
       attempt->response.request_id != flow->metadata.request_id &&
@@ -76,6 +77,13 @@
   return true;
 }
 
+void Forwarding::ApplyWorkerState(Instant now, const UpstreamId& worker,
+                                  const WorkerResponse& response) {
+  if (response.leaving) {
+    this->hooks.worker_leaving(now, worker);
+  }
+}
+
 bool Forwarding::OnChunk(Instant now, const HttpChunk& chunk) {
   ForwardedRequest* flow = nullptr;
   Attempt* attempt = this->FindAttempt(chunk.id, &flow);
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -132,7 +132,12 @@
                         : Duration::max();
            },
            [this](Instant now, const UpstreamId& id) {
-             this->MarkLeaving(now, id, "the worker", Duration{0});
+             const WorkerRegistration* known = this->directory.Find(id);
+             if (known != nullptr && !known->leaving) {
+               this->neighbours.OnWorkerLeaving(now,
+                                                {id, known->started_at, {}});
+               this->MarkLeaving(now, id, "the worker", Duration{0});
+             }
            },
            [this](Instant now) { this->neighbours.OnStateChanged(now); },
            [this](Instant now) {
--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -91,6 +91,7 @@
     response.request_id = GatewayFixture::HeaderOf(headers, "id");
     response.is_signed = FindHeader(headers, "signed") != nullptr;
     response.not_run = FindHeader(headers, "not-run") != nullptr;
+    response.leaving = FindHeader(headers, "leaving") != nullptr;
     return response;
   };
   codec.caller_headers = [](const Headers& headers) { return headers; };
