Keep requests from workers that ask for a pause

A worker that refuses with 503 and Retry-After wants nothing from that host for so long; hosts went on sending. When all workers of a service pause, requests are refused at once and told to return after the first end.

--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -103,6 +103,8 @@
   bool encoded = false;    ///< the body has a content encoding
   bool leaving = false;    ///< the worker accepts no new work
   std::optional<LoadReport> load;
+  /// Time for which the worker wants no requests from this host.
+  std::optional<Duration> retry_after;
 };
 
 /// @brief Encoders and decoders for everything that enters or leaves the
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -73,7 +73,10 @@
   void OnQuarantineChanged(Instant now);
 
   /// @brief Drops the load of a worker that terminated or restarted.
-  void RemoveWorker(const UpstreamId& worker) { this->loads.Remove(worker); }
+  void RemoveWorker(const UpstreamId& worker) {
+    this->loads.Remove(worker);
+    this->held_until.erase(worker);
+  }
 
   /// @brief Advances the timers: deadlines, hedged attempts and migrations;
   /// polls engines for their load.
@@ -164,7 +167,10 @@
   HttpCall MakeWorkerCall(Instant now, const ForwardedRequest& flow,
                           const Attempt& attempt, const std::string& address,
                           std::optional<ResumePoint> resume) const;
-  std::vector<LoadCandidate> Candidates(const ForwardedRequest& flow) const;
+  std::vector<LoadCandidate> Candidates(Instant now,
+                                        const ForwardedRequest& flow) const;
+  /// @brief Returns the refusal of a request that no worker may get now.
+  Problem NoWorkerProblem(Instant now, const ForwardedRequest& flow);
   Distance DistanceTo(const FailureDomainId& domain) const {
     return this->DistanceBetween(this->settings.failure_domain, domain);
   }
@@ -194,8 +200,10 @@
   bool OnMigrationDone(Instant now, const HttpDone& done);
   bool OnMigrationHead(Instant now, const HttpHead& head);
   /// @brief Handles what every response of a worker may tell about it.
-  void ApplyWorkerState(Instant now, const UpstreamId& worker,
+  void ApplyWorkerState(Instant now, const UpstreamId& worker, int status,
                         const WorkerResponse& response);
+  /// @return when the worker wants requests again; past if it does now
+  Instant HeldUntil(const UpstreamId& worker) const;
   bool OnMigrationChunk(const HttpChunk& chunk);
   void HandleStreamReport(Instant now, const ReportCall& call);
   void ScheduleMigration(Instant now, ForwardedRequest* flow,
@@ -241,6 +249,8 @@
   std::set<Timer> timers;
   std::unordered_map<std::uint64_t, std::uint64_t> flow_of_migration;
   std::unordered_map<std::uint64_t, ReportCall> reports;
+  /// Workers that asked for a pause with 503 and Retry-After.
+  std::map<UpstreamId, Instant> held_until;
   Instant next_load_poll{};
   std::set<std::uint64_t> releases;  ///< calls whose response is ignored
   Actions actions;
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -88,11 +88,29 @@
   this->timers.insert({flow.deadline, id, TimerKind::kDeadline});
   this->BudgetOf(flow.service).Earn(now);
   if (!this->Send(now, &flow)) {
-    this->Refuse(now, id,
-                 {ErrorCode::kRoutingNoUpstream, Outcome::kNotRun,
+    this->Refuse(now, id, this->NoWorkerProblem(now, flow));
+  }
+}
+
+Problem Forwarding::NoWorkerProblem(Instant now, const ForwardedRequest& flow) {
+  Problem problem{ErrorCode::kRoutingNoUpstream, Outcome::kNotRun,
                   "no worker of the service accepts new work",
-                  this->RetryAfter(now, flow)});
+                  this->RetryAfter(now, flow)};
+  Instant first_end = kNever;
+  for (const WorkerRegistration* worker :
+       this->directory->AvailableWorkers(flow.service)) {
+    const Instant end = this->HeldUntil(worker->id);
+    if (end > now) {
+      first_end = std::min(first_end, end);
+    }
+  }
+  if (first_end != kNever) {
+    // An earlier return would be refused again. The usual delay spreads
+    // callers.
+    problem.detail = "the workers of the service have asked for a pause";
+    problem.retry_after = first_end - now + *problem.retry_after;
   }
+  return problem;
 }
 
 std::optional<Problem> Forwarding::Admit(Instant now, ForwardedRequest* flow) {
@@ -209,12 +227,20 @@
                                     : Distance::kOtherRegion;
 }
 
+Instant Forwarding::HeldUntil(const UpstreamId& worker) const {
+  const auto found = this->held_until.find(worker);
+  return found == this->held_until.end() ? Instant{} : found->second;
+}
+
 std::vector<LoadCandidate> Forwarding::Candidates(
-    const ForwardedRequest& flow) const {
+    Instant now, const ForwardedRequest& flow) const {
   const ForwardingService* service = flow.table->FindService(flow.service);
   std::vector<LoadCandidate> candidates;
   for (const WorkerRegistration* worker :
        this->directory->AvailableWorkers(flow.service)) {
+    if (this->HeldUntil(worker->id) > now) {
+      continue;
+    }
     LoadCandidate candidate;
     candidate.worker = worker->id;
     candidate.domain = worker->domain;
@@ -230,7 +256,7 @@
 
 std::optional<LoadChoice> Forwarding::ChooseWorker(
     Instant now, const ForwardedRequest& flow) {
-  std::vector<LoadCandidate> candidates = this->Candidates(flow);
+  std::vector<LoadCandidate> candidates = this->Candidates(now, flow);
   const auto tried = [&flow](const LoadCandidate& candidate) {
     return std::find(flow.tried.begin(), flow.tried.end(), candidate.worker) !=
            flow.tried.end();
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -85,7 +85,8 @@
         continue;
       }
       ++nearby;
-      if (!has_pending_report(worker->id)) {
+      if (!has_pending_report(worker->id) &&
+          this->HeldUntil(worker->id) <= now) {
         this->RequestReport(*worker, ReportPurpose::kLoadPoll, now);
       }
     }
@@ -126,7 +127,7 @@
       report != this->reports.end()) {
     report->second.status = head.status;
     const UpstreamId worker = report->second.worker.id;
-    this->ApplyWorkerState(now, worker,
+    this->ApplyWorkerState(now, worker, head.status,
                            this->codec.worker_response(head.headers));
     return true;
   }
@@ -286,7 +287,7 @@
 
 bool Forwarding::ChooseDestination(Instant now, ForwardedRequest* flow) {
   StreamMigration& migration = *flow->migration;
-  std::vector<LoadCandidate> candidates = this->Candidates(*flow);
+  std::vector<LoadCandidate> candidates = this->Candidates(now, *flow);
   const auto excluded = [&migration](const LoadCandidate& candidate) {
     return candidate.worker == migration.source ||
            std::find(migration.refused.begin(), migration.refused.end(),
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -59,7 +59,8 @@
   if (attempt->response.load.has_value()) {
     this->loads.ApplyReport(now, attempt->worker, *attempt->response.load);
   }
-  this->ApplyWorkerState(now, attempt->worker, attempt->response);
+  this->ApplyWorkerState(now, attempt->worker, attempt->status,
+                         attempt->response);
   const bool success = head.status >= 200 && head.status < 300;
   const bool wrong_request =
       attempt->response.request_id != flow->metadata.request_id &&
@@ -78,7 +79,17 @@
 }
 
 void Forwarding::ApplyWorkerState(Instant now, const UpstreamId& worker,
-                                  const WorkerResponse& response) {
+                                  int status, const WorkerResponse& response) {
+  constexpr int kUnavailable = 503;
+  if (status == kUnavailable && response.retry_after.has_value()) {
+    Instant& until = this->held_until[worker];
+    if (until < now) {
+      this->Log(LogLevel::kInfo, "worker wants a pause",
+                {{"worker", worker.value},
+                 {"pause_ms", MillisecondsText(*response.retry_after)}});
+    }
+    until = std::max(until, now + *response.retry_after);
+  }
   if (response.leaving) {
     this->hooks.worker_leaving(now, worker);
   }
@@ -282,12 +293,14 @@
         this->Refuse(now, id, *quarantined);
         return;
       }
-      this->Refuse(
-          now, id,
-          {ErrorCode::kUpstreamRefused, Outcome::kNotRun,
-           end == AttemptEnd::kRefused ? "the worker refused the request"
-                                       : "no worker could be reached",
-           this->RetryAfter(now, flow)});
+      {
+        Problem problem = this->NoWorkerProblem(now, flow);
+        problem.code = ErrorCode::kUpstreamRefused;
+        problem.detail = end == AttemptEnd::kRefused
+                             ? "the worker refused the request"
+                             : "no worker could be reached";
+        this->Refuse(now, id, std::move(problem));
+      }
       return;
     case NextStep::kFail:
       this->Refuse(
--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -92,6 +92,10 @@
     response.is_signed = FindHeader(headers, "signed") != nullptr;
     response.not_run = FindHeader(headers, "not-run") != nullptr;
     response.leaving = FindHeader(headers, "leaving") != nullptr;
+    if (FindHeader(headers, "pause-ms") != nullptr) {
+      response.retry_after = milliseconds(
+          std::stol(GatewayFixture::HeaderOf(headers, "pause-ms")));
+    }
     return response;
   };
   codec.caller_headers = [](const Headers& headers) { return headers; };
--- a/src/gateway/tests/worker_state_test.cc
+++ b/src/gateway/tests/worker_state_test.cc
@@ -78,5 +78,54 @@
   CHECK(std::any_of(this->datagrams.begin(), this->datagrams.end(), tells));
 }
 
+TEST_CASE_METHOD(WorkerStateFixture,
+                 "worker state, a refusal asks for a pause, the worker gets "
+                 "nothing until its end",
+                 "[gateway]") {
+  this->Register("two", "engines", true);
+  this->Respond(this->StreamAt("one"), 503, "",
+                {{"not-run", "yes"}, {"pause-ms", "2500"}});
+  this->Advance(milliseconds(2400));
+  CHECK(this->StreamsPlacedAt("one") == 0);
+  this->Advance(milliseconds(200));
+  CHECK(this->StreamsPlacedAt("one") == 20);
+}
+
+TEST_CASE_METHOD(WorkerStateFixture,
+                 "worker state, all workers ask for a pause, requests are "
+                 "refused at once until the first one's end",
+                 "[gateway]") {
+  this->Respond(this->StreamAt("one"), 503, "",
+                {{"not-run", "yes"}, {"pause-ms", "2500"}});
+  for (const HttpCall& call : this->TakeCalls()) {
+    this->Respond(call, 200, "id: 1\n\n");
+  }
+  this->Respond(this->StreamAt("two"), 503, "",
+                {{"not-run", "yes"}, {"pause-ms", "900"}});
+  const RequestId id = this->SendRequest("/stream/7");
+  CHECK(this->TakeCalls().empty());
+  CHECK(this->ResponseTo(id).status == 503);
+  CHECK(this->ResponseTo(id).body.find("not_run") != std::string::npos);
+  const double seconds_to_wait =
+      std::stod(HeaderOf(this->ResponseTo(id).headers, "Retry-After"));
+  CHECK(seconds_to_wait >= 0.9);
+  CHECK(seconds_to_wait < 1.7);
+  this->Advance(milliseconds(1000));
+  CHECK(this->StreamsPlacedAt("two") == 20);
+}
+
+TEST_CASE_METHOD(WorkerStateFixture,
+                 "worker state, a worker restarts during its pause, gets "
+                 "requests at once",
+                 "[gateway]") {
+  this->Respond(this->StreamAt("one"), 503, "",
+                {{"not-run", "yes"}, {"pause-ms", "60000"}});
+  this->TakeCalls();
+  this->Unregister("one");
+  this->Advance(seconds(3));
+  this->Register("one", "engines");
+  CHECK(this->StreamsPlacedAt("one") > 0);
+}
+
 }  // namespace
 }  // namespace limpetlink::testing
