Send requests to workers in their home regions only

Candidates of first attempts, retries, second copies and moves are now those in the regions of both lists; an empty list binds nothing. A request that no worker there can take is refused at once with routing.102, without a time to return where the deployment has no such region.

worker_state_test, all 25 combinations of five lists on three paths: fails with the check disabled, passes with it.

--- a/src/base/detail/error.h
+++ b/src/base/detail/error.h
@@ -47,6 +47,7 @@
   kAdmissionExpectedWaitTooLong,
   kAdmissionTooLongForModel,
   kRoutingNoUpstream,
+  kRoutingOutsideRegions,
   kLimitsConcurrency,
   kLimitsRate,
   kRetriesExhausted,
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -40,6 +40,8 @@
      "The request cannot fit any worker of the model"},
     {ErrorCode::kRoutingNoUpstream, "routing.101", 503,
      "No upstream can take the request"},
+    {ErrorCode::kRoutingOutsideRegions, "routing.102", 503,
+     "No upstream in the regions that may serve the request"},
     {ErrorCode::kLimitsConcurrency, "limits.101", 429,
      "Too many requests at once"},
     {ErrorCode::kLimitsRate, "limits.102", 429,
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -174,6 +174,10 @@
   Distance DistanceTo(const FailureDomainId& domain) const {
     return this->DistanceBetween(this->settings.failure_domain, domain);
   }
+  /// @return the region of a failure domain; the domain itself if unknown
+  std::string RegionOf(const FailureDomainId& domain) const;
+  /// @return whether route and organisation allow the region
+  static bool MayServe(const ForwardedRequest& flow, const std::string& region);
   Distance DistanceBetween(const FailureDomainId& from,
                            const FailureDomainId& to) const;
 
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -97,13 +97,33 @@
                   "no worker of the service accepts new work",
                   this->RetryAfter(now, flow)};
   Instant first_end = kNever;
+  bool has_workers = false;
+  bool has_allowed_workers = false;
   for (const WorkerRegistration* worker :
        this->directory->AvailableWorkers(flow.service)) {
+    has_workers = true;
+    if (!MayServe(flow, this->RegionOf(worker->domain))) {
+      continue;
+    }
+    has_allowed_workers = true;
     const Instant end = this->HeldUntil(worker->id);
     if (end > now) {
       first_end = std::min(first_end, end);
     }
   }
+  if (has_workers && !has_allowed_workers) {
+    problem.code = ErrorCode::kRoutingOutsideRegions;
+    problem.detail = "no worker in the regions of its route and organisation";
+    const std::map<std::string, std::string>& regions =
+        this->settings.region_of;
+    const bool region_exists = std::any_of(
+        regions.begin(), regions.end(),
+        [&flow](const auto& domain) { return MayServe(flow, domain.second); });
+    if (!region_exists) {
+      problem.retry_after.reset();  // until the configuration changes
+    }
+    return problem;
+  }
   if (first_end != kNever) {
     // An earlier return would be refused again. The usual delay spreads
     // callers.
@@ -219,12 +239,23 @@
   if (from == to) {
     return Distance::kSameDomain;
   }
-  const auto region = [this](const FailureDomainId& of) {
-    const auto found = this->settings.region_of.find(of.value);
-    return found == this->settings.region_of.end() ? of.value : found->second;
+  return this->RegionOf(from) == this->RegionOf(to) ? Distance::kSameRegion
+                                                    : Distance::kOtherRegion;
+}
+
+std::string Forwarding::RegionOf(const FailureDomainId& domain) const {
+  const auto found = this->settings.region_of.find(domain.value);
+  return found == this->settings.region_of.end() ? domain.value : found->second;
+}
+
+bool Forwarding::MayServe(const ForwardedRequest& flow,
+                          const std::string& region) {
+  const auto allows = [&region](const std::vector<std::string>& regions) {
+    return regions.empty() ||
+           std::find(regions.begin(), regions.end(), region) != regions.end();
   };
-  return region(from) == region(to) ? Distance::kSameRegion
-                                    : Distance::kOtherRegion;
+  return allows(flow.route->regions) &&
+         (flow.holder == nullptr || allows(flow.holder->regions));
 }
 
 Instant Forwarding::HeldUntil(const UpstreamId& worker) const {
@@ -238,7 +269,8 @@
   std::vector<LoadCandidate> candidates;
   for (const WorkerRegistration* worker :
        this->directory->AvailableWorkers(flow.service)) {
-    if (this->HeldUntil(worker->id) > now) {
+    if (this->HeldUntil(worker->id) > now ||
+        !MayServe(flow, this->RegionOf(worker->domain))) {
       continue;
     }
     LoadCandidate candidate;
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -295,7 +295,9 @@
       }
       {
         Problem problem = this->NoWorkerProblem(now, flow);
-        problem.code = ErrorCode::kUpstreamRefused;
+        if (problem.code == ErrorCode::kRoutingNoUpstream) {
+          problem.code = ErrorCode::kUpstreamRefused;
+        }
         problem.detail = end == AttemptEnd::kRefused
                              ? "the worker refused the request"
                              : "no worker could be reached";
--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -264,12 +264,13 @@
 }
 
 void GatewayFixture::Register(const std::string& name,
-                              const std::string& service, bool draining) {
+                              const std::string& service, bool draining,
+                              const std::string& domain) {
   WorkerRegistration worker;
   worker.id = UpstreamId{name};
   worker.service = service;
   worker.address = name + ":80";
-  worker.domain = FailureDomainId{"here"};
+  worker.domain = FailureDomainId{domain};
   worker.slots = 6;
   worker.leaving = draining;
   this->registrations[name] = worker;
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -28,7 +28,7 @@
   static Deployment MakeDeployment(std::uint64_t version);
 
   void Register(const std::string& name, const std::string& service,
-                bool draining = false);
+                bool draining = false, const std::string& domain = "here");
   void Unregister(const std::string& name);
   /// @brief Publishes a deployment in the store.
   void Publish(Deployment next);
--- a/src/gateway/tests/worker_state_test.cc
+++ b/src/gateway/tests/worker_state_test.cc
@@ -8,6 +8,100 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// @brief A host in "region" with workers there and in "other", each with
+/// routes and an organisation that may be restricted to regions.
+class RegionFixture : public GatewayFixture {
+ public:
+  RegionFixture() {
+    for (const char* service : {"engines", "app"}) {
+      const std::string name = service;
+      this->Register(name + "-near-1", service);
+      this->Register(name + "-near-2", service);
+      this->Register(name + "-far-1", service, false, "there");
+      this->Register(name + "-far-2", service, false, "there");
+    }
+  }
+
+  void Restrict(const std::vector<std::string>& route,
+                const std::vector<std::string>& organisation) {
+    Deployment next = MakeDeployment(++this->version);
+    for (ForwardingRoute& each : next.routes) {
+      each.regions = route;
+    }
+    next.holders[0].regions = organisation;
+    this->Publish(next);
+  }
+
+  std::uint64_t version = 10;
+};
+
+TEST_CASE_METHOD(RegionFixture,
+                 "home regions, every combination and path, no worker outside "
+                 "them gets a request",
+                 "[gateway]") {
+  const std::vector<std::vector<std::string>> lists = {
+      {}, {"region"}, {"other"}, {"region", "other"}, {"unknown"}};
+  const auto allows = [](const std::vector<std::string>& list,
+                         const std::string& region) {
+    return list.empty() ||
+           std::find(list.begin(), list.end(), region) != list.end();
+  };
+  for (const auto& route : lists) {
+    for (const auto& organisation : lists) {
+      this->Restrict(route, organisation);
+      const bool near =
+          allows(route, "region") && allows(organisation, "region");
+      const bool far = allows(route, "other") && allows(organisation, "other");
+      for (const char* path : {"/lookup/7", "/order/7", "/stream/7"}) {
+        CAPTURE(path, near, far);
+        const RequestId id = this->SendRequest(path);
+        std::vector<HttpCall> calls = this->TakeCalls();
+        CHECK(calls.size() == (near || far ? 1 : 0));
+        if (calls.empty()) {
+          CHECK(this->ResponseTo(id).body.find("routing.102") !=
+                std::string::npos);
+          CHECK(this->ResponseTo(id).body.find("not_run") != std::string::npos);
+          CHECK(FindHeader(this->ResponseTo(id).headers, "Retry-After") ==
+                nullptr);
+        }
+        // Retries after refusals and failed connections, and second copies.
+        for (int i = 0; i < 8 && !calls.empty(); ++i) {
+          for (const HttpCall& call : calls) {
+            const bool is_far = HeaderOf(call.headers, "worker").find("far") !=
+                                std::string::npos;
+            CHECK((is_far ? far : near));
+            if (i % 2 == 0) {
+              this->EndCall(call, HttpEnd::kNotConnected);
+            } else {
+              this->Respond(call, 503, "", {{"not-run", "yes"}});
+            }
+          }
+          this->Advance(milliseconds(150));
+          calls = this->TakeCalls();
+        }
+        CHECK(this->ResponseTo(id).ended);
+      }
+    }
+  }
+}
+
+TEST_CASE_METHOD(RegionFixture,
+                 "home regions, a stream's worker leaves, moves within them",
+                 "[gateway]") {
+  this->Restrict({"other"}, {});
+  this->SendRequest("/stream/7");
+  const HttpCall call = this->Call();
+  const std::string source = HeaderOf(call.headers, "worker");
+  REQUIRE(source.find("far") != std::string::npos);
+  this->RespondHead(call, 200);
+  this->RespondBytes(call, "id: 1\n\n");
+  this->Register(source, "engines", true, "there");
+  this->Respond(this->CallTo(source + ":80/report"), 200, "");
+  this->Advance(milliseconds(20));
+  const HttpCall copy = this->CallTo("/copy");
+  CHECK(copy.body.find("engines-far") != std::string::npos);
+}
+
 /// @brief A host with two engines; what their responses tell about them.
 class WorkerStateFixture : public GatewayFixture {
  public:
--- a/src/routes/detail/deployment.h
+++ b/src/routes/detail/deployment.h
@@ -45,6 +45,7 @@
   std::uint32_t max_attempts = 1;         ///< workers that may run one request
   int priority = 0;                       ///< 0 is the highest
   bool anonymous = false;                 ///< needs no API key
+  std::vector<std::string> regions;       ///< that may serve it; empty: any
 };
 
 /// @brief Capacity and capabilities of the engines of a model service.
@@ -75,6 +76,7 @@
   OrganisationId organisation;
   std::vector<std::string> key_digests;  ///< SHA-256, hexadecimal
   std::optional<int> priority;           ///< overrides the route's
+  std::vector<std::string> regions{};    ///< that may serve it; empty: any
 };
 
 /// @brief One version of the forwarding configuration.
