Send nothing new to the workers of evacuated failure domains

Operators ask in the store that a zone's workers get no more requests; hosts didn't read that. Where the deployment sets a bound on evacuations, hosts now watch them as they watch registrations: the leader of a domain reads, the others are told, and a starting host is ready once it knows them. Workers of an evacuated domain are no candidates for first attempts, retries, second copies and moves, and are not polled; what runs there goes on. A name that is no failure domain evacuates nothing and is logged.

--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -113,7 +113,9 @@
 struct GatewayCodec {
   std::string deployment_kind;  ///< object kind of the Deployment
   std::string deployment_name;
-  std::string worker_kind;        ///< object kind of worker registrations
+  std::string worker_kind;  ///< object kind of worker registrations
+  /// Object kind of evacuations, named by failure domain.
+  std::string evacuation_kind{};
   std::string quarantine_kind{};  ///< object kind of quarantined prompt parts;
                                   ///< empty: they aren't stored
   std::string ready_path;         ///< readiness check of the load balancer
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -41,6 +41,8 @@
   std::function<void(Instant)> loads_changed;
   /// Called when the quarantine received evidence from a request of this host.
   std::function<void(Instant)> evidence_changed;
+  /// Returns whether the workers of a failure domain get no requests for now.
+  std::function<bool(const FailureDomainId&)> is_evacuated;
 };
 
 /// @brief Drives all open requests from arrival to their complete response.
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -54,6 +54,8 @@
 
  private:
   NeighbourHooks MakeNeighbourHooks();
+  KindWatch MakeEvacuationWatch();
+  void SetEvacuated(const FailureDomainId& domain, bool evacuated);
   /// @return a value in [0, 1) derived from the host id
   double Phase() const;
   /// @brief Spreads the reads of the store over the neighbours.
@@ -88,6 +90,9 @@
   WorkerDirectory directory;
   KindWatch deployments;
   KindWatch workers;
+  std::optional<KindWatch> evacuations;
+  std::vector<KindWatch*> watches = {&this->deployments, &this->workers};
+  std::set<FailureDomainId> evacuated;
   PartQuarantine quarantine;
   QuarantineRecords quarantine_records;
   Forwarding forwarding;
--- a/src/gateway/detail/settings.h
+++ b/src/gateway/detail/settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -22,6 +23,9 @@
   Duration max_revocation_delay{std::chrono::milliseconds(5000)};
   /// Maximum time that a leaving worker still receives new work.
   Duration max_drain_delay{std::chrono::milliseconds(2500)};
+  /// Maximum time from the acceptance of an evacuation until no more requests
+  /// are sent to the failure domain's workers; unset: there are no evacuations.
+  std::optional<Duration> max_evacuation_delay;
   bool strict_revocation =
       true;                  ///< enforced while the store is unreachable too
   double retry_ratio = 0.1;  ///< retries per request of a service
@@ -31,8 +35,8 @@
     const auto all = [](const GatewayLimits& each) {
       return std::tie(each.grace_period, each.max_apply_delay,
                       each.max_revocation_delay, each.max_drain_delay,
-                      each.strict_revocation, each.retry_ratio,
-                      each.retry_window);
+                      each.max_evacuation_delay, each.strict_revocation,
+                      each.retry_ratio, each.retry_window);
     };
     return all(a) == all(b);
   }
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -106,6 +106,10 @@
       continue;
     }
     has_allowed_workers = true;
+    if (this->hooks.is_evacuated(worker->domain)) {
+      problem.detail = "the workers of the service are evacuated";
+      continue;
+    }
     const Instant end = this->HeldUntil(worker->id);
     if (end > now) {
       first_end = std::min(first_end, end);
@@ -270,6 +274,7 @@
   for (const WorkerRegistration* worker :
        this->directory->AvailableWorkers(flow.service)) {
     if (this->HeldUntil(worker->id) > now ||
+        this->hooks.is_evacuated(worker->domain) ||
         !MayServe(flow, this->RegionOf(worker->domain))) {
       continue;
     }
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -86,7 +86,8 @@
       }
       ++nearby;
       if (!has_pending_report(worker->id) &&
-          this->HeldUntil(worker->id) <= now) {
+          this->HeldUntil(worker->id) <= now &&
+          !this->hooks.is_evacuated(worker->domain)) {
         this->RequestReport(*worker, ReportPurpose::kLoadPoll, now);
       }
     }
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -143,11 +143,72 @@
            [this](Instant now) {
              this->neighbours.OnEvidenceChanged(now);
              this->quarantine_changed = true;
+           },
+           [this](const FailureDomainId& domain) {
+             return this->evacuated.count(domain) > 0;
            }},
           &this->directory, &this->quarantine, &this->metrics),
       neighbours({this->settings.self, this->settings.failure_domain,
                   this->settings.neighbour_address, this->settings.seeds},
-                 this->MakeNeighbourHooks()) {}
+                 this->MakeNeighbourHooks()) {
+  if (this->settings.limits.max_evacuation_delay.has_value() &&
+      !this->codec.evacuation_kind.empty()) {
+    this->evacuations.emplace(this->MakeEvacuationWatch());
+    this->watches.push_back(&*this->evacuations);
+  }
+}
+
+KindWatch GatewayHost::MakeEvacuationWatch() {
+  const Duration max_delay = *this->settings.limits.max_evacuation_delay;
+  KindWatchHooks hooks;
+  hooks.on_snapshot = [this](Instant, std::vector<ObjectRecord> records) {
+    std::set<FailureDomainId> listed;
+    for (const ObjectRecord& record : records) {
+      listed.insert(FailureDomainId{record.name});
+    }
+    for (const FailureDomainId& domain : std::set(this->evacuated)) {
+      if (listed.count(domain) == 0) {
+        this->SetEvacuated(domain, false);
+      }
+    }
+    for (const FailureDomainId& domain : listed) {
+      this->SetEvacuated(domain, true);
+    }
+  };
+  hooks.on_change = [this](Instant, const ObjectRecord& record) {
+    this->SetEvacuated(FailureDomainId{record.name}, !record.deleted);
+  };
+  hooks.on_linearizable_read = [this](Instant now) {
+    this->neighbours.OnLinearizableRead(now);
+  };
+  hooks.on_relay = [this](Instant now) {
+    this->Relay(now, *this->evacuations);
+  };
+  hooks.on_missing = [this](Instant now, const MissingChanges& missing) {
+    this->RequestChanges(now, missing);
+  };
+  hooks.on_store_failure = [this](Instant now) {
+    this->neighbours.OnStoreFailure(now);
+  };
+  return {{this->codec.evacuation_kind,
+           FromSeconds(kDeploymentReadFraction * ToSeconds(max_delay)),
+           Duration{0}, this->Phase()},
+          std::move(hooks),
+          &this->store};
+}
+
+void GatewayHost::SetEvacuated(const FailureDomainId& domain, bool evacuated) {
+  const bool changed = evacuated ? this->evacuated.insert(domain).second
+                                 : this->evacuated.erase(domain) > 0;
+  if (!changed) {
+    return;
+  }
+  const bool known = this->settings.region_of.count(domain.value) > 0;
+  this->Log(
+      known ? LogLevel::kInfo : LogLevel::kWarning,
+      evacuated ? "failure domain evacuated" : "failure domain taken back",
+      {{"domain", domain.value}, {"known", known ? "true" : "false"}});
+}
 
 NeighbourHooks GatewayHost::MakeNeighbourHooks() {
   NeighbourHooks hooks;
@@ -165,7 +226,7 @@
   };
   hooks.local_reads = [this](Instant now) {
     std::vector<AdvertisedRead> reads;
-    for (const KindWatch* watch : {&this->deployments, &this->workers}) {
+    for (const KindWatch* watch : this->watches) {
       if (const std::optional<LinearizableRead>& read = watch->LastRead()) {
         reads.push_back({read->kind, read->changed_at, read->revision,
                          now - read->sent_at, read->era});
@@ -175,7 +236,7 @@
   };
   hooks.neighbour_read = [this](Instant now, Instant sent_at,
                                 const AdvertisedRead& read) {
-    for (KindWatch* watch : {&this->deployments, &this->workers}) {
+    for (KindWatch* watch : this->watches) {
       if (watch->Kind() == read.kind) {
         watch->ApplyLinearizableRead(now, {read.kind, read.changed_at,
                                            read.revision, sent_at, read.era});
@@ -184,7 +245,7 @@
   };
   hooks.local_changes = [this](Instant now) {
     std::vector<KindChanges> changes;
-    for (const KindWatch* watch : {&this->deployments, &this->workers}) {
+    for (const KindWatch* watch : this->watches) {
       if (this->kinds_to_relay.erase(watch->Kind()) > 0) {
         changes.push_back(watch->RecentChanges(now, kMaxRelayedBytes));
       }
@@ -192,7 +253,7 @@
     return changes;
   };
   hooks.changes_since = [this](const MissingChanges& missing) {
-    for (const KindWatch* watch : {&this->deployments, &this->workers}) {
+    for (const KindWatch* watch : this->watches) {
       if (watch->Kind() == missing.kind) {
         return watch->ChangesSince(missing, kMaxAnswerBytes);
       }
@@ -200,8 +261,9 @@
     return std::optional<KindChanges>();
   };
   hooks.neighbour_store_failure = [this](Instant now) {
-    this->deployments.OnNeighbourFailure(now);
-    this->workers.OnNeighbourFailure(now);
+    for (KindWatch* watch : this->watches) {
+      watch->OnNeighbourFailure(now);
+    }
   };
   hooks.local_removal_delay = [this](Instant now) {
     return this->directory.RemovalDelay(now);
@@ -210,7 +272,7 @@
     this->directory.OnRelayedResponse(now, delay);
   };
   hooks.neighbour_changes = [this](Instant now, const KindChanges& changes) {
-    for (KindWatch* watch : {&this->deployments, &this->workers}) {
+    for (KindWatch* watch : this->watches) {
       if (watch->Kind() == changes.kind) {
         watch->ApplyChanges(now, changes);
       }
@@ -261,10 +323,10 @@
   }
   const Duration failure_spread =
       kFailureDelayPerHost * static_cast<int>(this->neighbours.Count());
-  this->deployments.SetFailureSpread(failure_spread);
-  this->workers.SetFailureSpread(failure_spread);
-  this->deployments.SetRole(now, role);
-  this->workers.SetRole(now, role);
+  for (KindWatch* watch : this->watches) {
+    watch->SetFailureSpread(failure_spread);
+    watch->SetRole(now, role);
+  }
   this->workers.SetBatchDelay(std::min(
       kMaxWorkersBatchDelay,
       kWorkersBatchDelay * (1 + static_cast<int>(this->neighbours.Count()))));
@@ -280,8 +342,9 @@
   this->Log(LogLevel::kInfo, "started",
             {{"failure_domain", this->settings.failure_domain.value},
              {"store", this->settings.store.url}});
-  this->deployments.Start(now);
-  this->workers.Start(now);
+  for (KindWatch* watch : this->watches) {
+    watch->Start(now);
+  }
   return this->Collect(now);
 }
 
@@ -314,8 +377,9 @@
 Actions GatewayHost::Tick(Instant now) {
   this->store.Tick(now);
   this->HandleStoreResults(now);
-  this->deployments.Tick(now);
-  this->workers.Tick(now);
+  for (KindWatch* watch : this->watches) {
+    watch->Tick(now);
+  }
   this->directory.Tick(now);
   this->forwarding.Tick(now);
   this->neighbours.Tick(now);
@@ -347,9 +411,12 @@
     } else {
       this->directory.OnStoreFailure();
     }
-    this->deployments.OnResult(now, &result) ||
-        this->workers.OnResult(now, &result) ||
-        this->quarantine_records.OnResult(now, result);
+    const bool watched = std::any_of(
+        this->watches.begin(), this->watches.end(),
+        [&](KindWatch* watch) { return watch->OnResult(now, &result); });
+    if (!watched) {
+      this->quarantine_records.OnResult(now, result);
+    }
   }
   this->LogStoreMode();
 }
@@ -526,7 +593,8 @@
 
 bool GatewayHost::Ready(Instant now) const {
   if (this->drain_started.has_value() || this->table == nullptr ||
-      !this->workers.HasSnapshot()) {
+      !this->workers.HasSnapshot() ||
+      (this->evacuations.has_value() && !this->evacuations->HasSnapshot())) {
     return false;
   }
   // Not ready before requests with keys have to be refused here, so that
@@ -653,10 +721,12 @@
 
 Instant GatewayHost::NextWakeup() const {
   Instant next = std::min(
-      {this->store.NextWakeup(), this->deployments.NextWakeup(),
-       this->workers.NextWakeup(), this->directory.NextWakeup(),
+      {this->store.NextWakeup(), this->directory.NextWakeup(),
        this->forwarding.NextWakeup(), this->neighbours.NextWakeup(),
        this->quarantine_records.NextWakeup(), this->next_quarantine_update});
+  for (const KindWatch* watch : this->watches) {
+    next = std::min(next, watch->NextWakeup());
+  }
   if (this->drain_started.has_value()) {
     const Instant end =
         *this->drain_started + this->settings.limits.grace_period - kKillMargin;
