--- a/src/gateway/tests/worker_state_test.cc
+++ b/src/gateway/tests/worker_state_test.cc
@@ -114,7 +114,7 @@
   HttpCall StreamAt(const std::string& worker) {
     for (int i = 0; i < 50; ++i) {
       this->SendRequest("/stream/7");
-      const HttpCall call = this->Call();
+      HttpCall call = this->Call();
       if (HeaderOf(call.headers, "worker") == worker) {
         return call;
       }
--- a/src/quarantine/tests/part_quarantine_test.cc
+++ b/src/quarantine/tests/part_quarantine_test.cc
@@ -194,6 +194,7 @@
   }
   for (int i = 0; i < 2000; ++i) {
     std::vector<std::string> parts;
+    parts.reserve(200);
     for (int j = 0; j < 200; ++j) {
       parts.push_back(std::to_string(i) + "-" + std::to_string(j));
     }
