--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -153,6 +153,8 @@
   /// @brief Retries, delivers, refuses or aborts, as decided.
   void ProceedAfterAttempt(Instant now, std::uint64_t id,
                            const Attempt& attempt, AttemptEnd end);
+  /// @brief Refuses a request that did not run and can't be sent again.
+  void RefuseAfterAttempt(Instant now, std::uint64_t id, AttemptEnd end);
   AttemptEnd Classify(const ForwardedRequest& flow, const Attempt& attempt,
                       HttpEnd end) const;
   void Deliver(Instant now, std::uint64_t id, const Attempt& attempt);
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -288,21 +288,7 @@
     case NextStep::kWaitForOther:
       return;
     case NextStep::kRefuse:
-      if (quarantined.has_value()) {
-        this->metrics->Add(Counter::kQuarantineRefusals);
-        this->Refuse(now, id, *quarantined);
-        return;
-      }
-      {
-        Problem problem = this->NoWorkerProblem(now, flow);
-        if (problem.code == ErrorCode::kRoutingNoUpstream) {
-          problem.code = ErrorCode::kUpstreamRefused;
-        }
-        problem.detail = end == AttemptEnd::kRefused
-                             ? "the worker refused the request"
-                             : "no worker could be reached";
-        this->Refuse(now, id, std::move(problem));
-      }
+      this->RefuseAfterAttempt(now, id, end);
       return;
     case NextStep::kFail:
       this->Refuse(
@@ -317,6 +303,24 @@
   }
 }
 
+void Forwarding::RefuseAfterAttempt(Instant now, std::uint64_t id,
+                                    AttemptEnd end) {
+  const ForwardedRequest& flow = this->flows.at(id);
+  if (std::optional<Problem> problem = this->CheckQuarantine(now, flow)) {
+    this->metrics->Add(Counter::kQuarantineRefusals);
+    this->Refuse(now, id, *std::move(problem));
+    return;
+  }
+  Problem problem = this->NoWorkerProblem(now, flow);
+  if (problem.code == ErrorCode::kRoutingNoUpstream) {
+    problem.code = ErrorCode::kUpstreamRefused;
+    problem.detail = end == AttemptEnd::kRefused
+                         ? "the worker refused the request"
+                         : "no worker could be reached";
+  }
+  this->Refuse(now, id, std::move(problem));
+}
+
 // ---- Final responses ----
 
 Headers Forwarding::ReplyHeaders(Instant now, Headers headers) const {
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -1,7 +1,6 @@
 #include "gateway/detail/gateway_host.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_join.h"
@@ -21,13 +20,6 @@
 // With neighbours, each host delays its reads longer, as one of them reads at
 // any time; new workers may wait this long for their first request.
 constexpr Duration kMaxWorkersBatchDelay = std::chrono::milliseconds(400);
-// Changes of one kind that are relayed to neighbours, at most. Larger ones are
-// read from the store by each host: a message to 50 neighbours would occupy
-// the link of a small host for a tenth of a second.
-constexpr std::size_t kMaxRelayedBytes = 6U << 10U;
-// Changes sent to one neighbour that cannot read them; limited by the size of a
-// datagram.
-constexpr std::size_t kMaxAnswerBytes = 15U << 10U;
 // While the store does not answer, the followers of a domain try it one after
 // the other at this interval, as it may turn away only some hosts.
 constexpr Duration kFailureDelayPerHost = std::chrono::milliseconds(250);
@@ -210,103 +202,6 @@
       {{"domain", domain.value}, {"known", known ? "true" : "false"}});
 }
 
-NeighbourHooks GatewayHost::MakeNeighbourHooks() {
-  NeighbourHooks hooks;
-  hooks.local_loads = [this] { return this->forwarding.Loads().LocalLoads(); };
-  hooks.host_loads = [this](Instant now, const HostId& host,
-                            const std::vector<WorkerLoad>& loads) {
-    this->forwarding.Loads().ApplyHostLoads(now, host, loads);
-  };
-  hooks.neighbour_found = [this](const HostId& host) {
-    this->Log(LogLevel::kInfo, "neighbour found", {{"neighbour", host.value}});
-  };
-  hooks.neighbour_lost = [this](const HostId& host) {
-    this->Log(LogLevel::kInfo, "neighbour lost", {{"neighbour", host.value}});
-    this->forwarding.Loads().RemoveHost(host);
-  };
-  hooks.local_reads = [this](Instant now) {
-    std::vector<AdvertisedRead> reads;
-    for (const KindWatch* watch : this->watches) {
-      if (const std::optional<LinearizableRead>& read = watch->LastRead()) {
-        reads.push_back({read->kind, read->changed_at, read->revision,
-                         now - read->sent_at, read->era});
-      }
-    }
-    return reads;
-  };
-  hooks.neighbour_read = [this](Instant now, Instant sent_at,
-                                const AdvertisedRead& read) {
-    for (KindWatch* watch : this->watches) {
-      if (watch->Kind() == read.kind) {
-        watch->ApplyLinearizableRead(now, {read.kind, read.changed_at,
-                                           read.revision, sent_at, read.era});
-      }
-    }
-  };
-  hooks.local_changes = [this](Instant now) {
-    std::vector<KindChanges> changes;
-    for (const KindWatch* watch : this->watches) {
-      if (this->kinds_to_relay.erase(watch->Kind()) > 0) {
-        changes.push_back(watch->RecentChanges(now, kMaxRelayedBytes));
-      }
-    }
-    return changes;
-  };
-  hooks.changes_since = [this](const MissingChanges& missing) {
-    for (const KindWatch* watch : this->watches) {
-      if (watch->Kind() == missing.kind) {
-        return watch->ChangesSince(missing, kMaxAnswerBytes);
-      }
-    }
-    return std::optional<KindChanges>();
-  };
-  hooks.neighbour_store_failure = [this](Instant now) {
-    for (KindWatch* watch : this->watches) {
-      watch->OnNeighbourFailure(now);
-    }
-  };
-  hooks.local_removal_delay = [this](Instant now) {
-    return this->directory.RemovalDelay(now);
-  };
-  hooks.neighbour_removal_delay = [this](Instant now, Duration delay) {
-    this->directory.OnRelayedResponse(now, delay);
-  };
-  hooks.neighbour_changes = [this](Instant now, const KindChanges& changes) {
-    for (KindWatch* watch : this->watches) {
-      if (watch->Kind() == changes.kind) {
-        watch->ApplyChanges(now, changes);
-      }
-    }
-  };
-  hooks.own_domain_loads = [this] {
-    return this->forwarding.Loads().DomainLoads();
-  };
-  hooks.remote_domain_loads = [this](Instant now, const DomainLoads& received) {
-    this->forwarding.Loads().ApplyDomainLoads(now, received.domain,
-                                              received.loads);
-  };
-  hooks.local_evidence = [this](Instant now, bool include_received) {
-    return this->quarantine.Export(now, include_received);
-  };
-  hooks.remote_evidence = [this](Instant now, const CrashEvidence& evidence) {
-    const bool is_new = this->quarantine.Merge(now, evidence);
-    this->quarantine_changed = this->quarantine_changed || is_new;
-    return is_new;
-  };
-  hooks.domain_lost = [this](const FailureDomainId& domain) {
-    this->Log(LogLevel::kInfo, "failure domain silent",
-              {{"domain", domain.value}});
-    this->forwarding.Loads().RemoveDomain(domain);
-  };
-  hooks.worker_leaving = [this](Instant now, const LeavingWorker& worker) {
-    const WorkerRegistration* known = this->directory.Find(worker.worker);
-    if (known != nullptr && known->started_at == worker.started_at) {
-      this->MarkLeaving(now, worker.worker, "a neighbour", worker.age);
-    }
-  };
-  return hooks;
-}
-
 double GatewayHost::Phase() const {
   constexpr std::uint64_t kSteps = 1024;
   return static_cast<double>(StableHash(this->settings.self.value) % kSteps) /
@@ -612,82 +507,6 @@
                                 : this->table->Contents().http_limits;
 }
 
-void GatewayHost::ServeOperator(Instant now, const CallerRequest& request) {
-  int status = 200;
-  std::string type = "text/plain; charset=utf-8";
-  std::string body = "ok\n";
-  if (request.path == this->codec.ready_path) {
-    const bool ready = this->Ready(now);
-    status = ready ? 200 : 503;
-    body = ready ? "ready\n" : "not ready\n";
-  } else if (request.path == "/metrics") {
-    body = this->metrics.Render();
-  } else if (request.path == "/v1/requests") {
-    type = "application/json";
-    body = this->RenderRequests(now);
-  } else if (request.path == "/v1/quarantine") {
-    type = "application/json";
-    body = this->RenderQuarantine(now);
-  } else if (request.path == "/v1/quarantine/release" &&
-             request.method == "POST") {
-    const bool released = this->ReleasePart(now, request.body);
-    status = released ? 200 : 404;
-    body = released ? "released\n" : "no such part\n";
-  } else if (request.path != "/healthz") {
-    status = 404;
-    body = "no such page\n";
-  }
-  this->actions.emplace_back(
-      ReplyHead{request.id, status, {{"Content-Type", std::move(type)}}});
-  this->actions.emplace_back(ReplyBody{request.id, std::move(body)});
-  this->actions.emplace_back(ReplyEnd{request.id, false});
-}
-
-std::string GatewayHost::RenderRequests(Instant now) const {
-  nlohmann::json rows = nlohmann::json::array();
-  for (const auto& [id, flow] : this->forwarding.Flows()) {
-    nlohmann::json workers = nlohmann::json::array();
-    for (const Attempt& attempt : flow.running) {
-      workers.push_back(attempt.worker.value);
-    }
-    rows.push_back({{"request", flow.metadata.request_id},
-                    {"route", flow.route == nullptr ? "" : flow.route->name},
-                    {"age_seconds", ToSeconds(now - flow.arrived)},
-                    {"deadline_seconds", ToSeconds(flow.deadline - now)},
-                    {"delivering", flow.delivering},
-                    {"workers", std::move(workers)}});
-  }
-  const nlohmann::json page = {{"requests", std::move(rows)}};
-  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-std::string GatewayHost::RenderQuarantine(Instant now) const {
-  nlohmann::json rows = nlohmann::json::array();
-  for (const QuarantinedPart& part : this->quarantine.Quarantined(now)) {
-    nlohmann::json engines = nlohmann::json::array();
-    for (const UpstreamId& engine : part.engines) {
-      engines.push_back(engine.value);
-    }
-    rows.push_back({{"part", part.id},
-                    {"crashes", part.crashes},
-                    {"last_crash_seconds_ago", ToSeconds(part.last_crash_age)},
-                    {"engines", std::move(engines)}});
-  }
-  const nlohmann::json page = {{"parts", std::move(rows)}};
-  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-bool GatewayHost::ReleasePart(Instant now, const std::string& id) {
-  if (!this->quarantine.RecordSound(now, id)) {
-    return false;
-  }
-  this->Log(LogLevel::kWarning, "prompt part released by an operator",
-            {{"part", id}});
-  this->neighbours.OnEvidenceChanged(now);
-  this->quarantine_changed = true;
-  return true;
-}
-
 Actions GatewayHost::Collect(Instant now) {
   this->latest = std::max(this->latest, now);
   this->HandleStoreResults(now);
--- /dev/null
+++ b/src/gateway/gateway_neighbours.cc
@@ -0,0 +1,113 @@
+#include "gateway/detail/gateway_host.h"
+
+namespace limpetlink {
+namespace {
+
+// Changes of one kind that are relayed to neighbours, at most. Larger ones are
+// read from the store by each host: a message to 50 neighbours would occupy
+// the link of a small host for a tenth of a second.
+constexpr std::size_t kMaxRelayedBytes = 6U << 10U;
+// Changes sent to one neighbour that cannot read them; limited by the size of a
+// datagram.
+constexpr std::size_t kMaxAnswerBytes = 15U << 10U;
+
+}  // namespace
+
+NeighbourHooks GatewayHost::MakeNeighbourHooks() {
+  NeighbourHooks hooks;
+  hooks.local_loads = [this] { return this->forwarding.Loads().LocalLoads(); };
+  hooks.host_loads = [this](Instant now, const HostId& host,
+                            const std::vector<WorkerLoad>& loads) {
+    this->forwarding.Loads().ApplyHostLoads(now, host, loads);
+  };
+  hooks.neighbour_found = [this](const HostId& host) {
+    this->Log(LogLevel::kInfo, "neighbour found", {{"neighbour", host.value}});
+  };
+  hooks.neighbour_lost = [this](const HostId& host) {
+    this->Log(LogLevel::kInfo, "neighbour lost", {{"neighbour", host.value}});
+    this->forwarding.Loads().RemoveHost(host);
+  };
+  hooks.local_reads = [this](Instant now) {
+    std::vector<AdvertisedRead> reads;
+    for (const KindWatch* watch : this->watches) {
+      if (const std::optional<LinearizableRead>& read = watch->LastRead()) {
+        reads.push_back({read->kind, read->changed_at, read->revision,
+                         now - read->sent_at, read->era});
+      }
+    }
+    return reads;
+  };
+  hooks.neighbour_read = [this](Instant now, Instant sent_at,
+                                const AdvertisedRead& read) {
+    for (KindWatch* watch : this->watches) {
+      if (watch->Kind() == read.kind) {
+        watch->ApplyLinearizableRead(now, {read.kind, read.changed_at,
+                                           read.revision, sent_at, read.era});
+      }
+    }
+  };
+  hooks.local_changes = [this](Instant now) {
+    std::vector<KindChanges> changes;
+    for (const KindWatch* watch : this->watches) {
+      if (this->kinds_to_relay.erase(watch->Kind()) > 0) {
+        changes.push_back(watch->RecentChanges(now, kMaxRelayedBytes));
+      }
+    }
+    return changes;
+  };
+  hooks.changes_since = [this](const MissingChanges& missing) {
+    for (const KindWatch* watch : this->watches) {
+      if (watch->Kind() == missing.kind) {
+        return watch->ChangesSince(missing, kMaxAnswerBytes);
+      }
+    }
+    return std::optional<KindChanges>();
+  };
+  hooks.neighbour_store_failure = [this](Instant now) {
+    for (KindWatch* watch : this->watches) {
+      watch->OnNeighbourFailure(now);
+    }
+  };
+  hooks.local_removal_delay = [this](Instant now) {
+    return this->directory.RemovalDelay(now);
+  };
+  hooks.neighbour_removal_delay = [this](Instant now, Duration delay) {
+    this->directory.OnRelayedResponse(now, delay);
+  };
+  hooks.neighbour_changes = [this](Instant now, const KindChanges& changes) {
+    for (KindWatch* watch : this->watches) {
+      if (watch->Kind() == changes.kind) {
+        watch->ApplyChanges(now, changes);
+      }
+    }
+  };
+  hooks.own_domain_loads = [this] {
+    return this->forwarding.Loads().DomainLoads();
+  };
+  hooks.remote_domain_loads = [this](Instant now, const DomainLoads& received) {
+    this->forwarding.Loads().ApplyDomainLoads(now, received.domain,
+                                              received.loads);
+  };
+  hooks.local_evidence = [this](Instant now, bool include_received) {
+    return this->quarantine.Export(now, include_received);
+  };
+  hooks.remote_evidence = [this](Instant now, const CrashEvidence& evidence) {
+    const bool is_new = this->quarantine.Merge(now, evidence);
+    this->quarantine_changed = this->quarantine_changed || is_new;
+    return is_new;
+  };
+  hooks.domain_lost = [this](const FailureDomainId& domain) {
+    this->Log(LogLevel::kInfo, "failure domain silent",
+              {{"domain", domain.value}});
+    this->forwarding.Loads().RemoveDomain(domain);
+  };
+  hooks.worker_leaving = [this](Instant now, const LeavingWorker& worker) {
+    const WorkerRegistration* known = this->directory.Find(worker.worker);
+    if (known != nullptr && known->started_at == worker.started_at) {
+      this->MarkLeaving(now, worker.worker, "a neighbour", worker.age);
+    }
+  };
+  return hooks;
+}
+
+}  // namespace limpetlink
--- /dev/null
+++ b/src/gateway/gateway_operators.cc
@@ -0,0 +1,83 @@
+#include <nlohmann/json.hpp>
+
+#include "gateway/detail/gateway_host.h"
+
+namespace limpetlink {
+
+void GatewayHost::ServeOperator(Instant now, const CallerRequest& request) {
+  int status = 200;
+  std::string type = "text/plain; charset=utf-8";
+  std::string body = "ok\n";
+  if (request.path == this->codec.ready_path) {
+    const bool ready = this->Ready(now);
+    status = ready ? 200 : 503;
+    body = ready ? "ready\n" : "not ready\n";
+  } else if (request.path == "/metrics") {
+    body = this->metrics.Render();
+  } else if (request.path == "/v1/requests") {
+    type = "application/json";
+    body = this->RenderRequests(now);
+  } else if (request.path == "/v1/quarantine") {
+    type = "application/json";
+    body = this->RenderQuarantine(now);
+  } else if (request.path == "/v1/quarantine/release" &&
+             request.method == "POST") {
+    const bool released = this->ReleasePart(now, request.body);
+    status = released ? 200 : 404;
+    body = released ? "released\n" : "no such part\n";
+  } else if (request.path != "/healthz") {
+    status = 404;
+    body = "no such page\n";
+  }
+  this->actions.emplace_back(
+      ReplyHead{request.id, status, {{"Content-Type", std::move(type)}}});
+  this->actions.emplace_back(ReplyBody{request.id, std::move(body)});
+  this->actions.emplace_back(ReplyEnd{request.id, false});
+}
+
+std::string GatewayHost::RenderRequests(Instant now) const {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [id, flow] : this->forwarding.Flows()) {
+    nlohmann::json workers = nlohmann::json::array();
+    for (const Attempt& attempt : flow.running) {
+      workers.push_back(attempt.worker.value);
+    }
+    rows.push_back({{"request", flow.metadata.request_id},
+                    {"route", flow.route == nullptr ? "" : flow.route->name},
+                    {"age_seconds", ToSeconds(now - flow.arrived)},
+                    {"deadline_seconds", ToSeconds(flow.deadline - now)},
+                    {"delivering", flow.delivering},
+                    {"workers", std::move(workers)}});
+  }
+  const nlohmann::json page = {{"requests", std::move(rows)}};
+  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string GatewayHost::RenderQuarantine(Instant now) const {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const QuarantinedPart& part : this->quarantine.Quarantined(now)) {
+    nlohmann::json engines = nlohmann::json::array();
+    for (const UpstreamId& engine : part.engines) {
+      engines.push_back(engine.value);
+    }
+    rows.push_back({{"part", part.id},
+                    {"crashes", part.crashes},
+                    {"last_crash_seconds_ago", ToSeconds(part.last_crash_age)},
+                    {"engines", std::move(engines)}});
+  }
+  const nlohmann::json page = {{"parts", std::move(rows)}};
+  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+bool GatewayHost::ReleasePart(Instant now, const std::string& id) {
+  if (!this->quarantine.RecordSound(now, id)) {
+    return false;
+  }
+  this->Log(LogLevel::kWarning, "prompt part released by an operator",
+            {{"part", id}});
+  this->neighbours.OnEvidenceChanged(now);
+  this->quarantine_changed = true;
+  return true;
+}
+
+}  // namespace limpetlink
