Keep evidence on crashes within a datagram

512 sound parts and 40 crashes of 8 parts beside the loads of 256 workers made a message of more than 16 KiB, which receivers drop with all it holds. Found by reading the change. A message now carries 32 crashes that quarantined parts explain, 12 others with 6 parts, and the 32 latest sound parts.

The new case in neighbours_test fails with the former limits and passes with these; quarantine_test, engine_crashes_test: passed.

--- a/src/neighbours/tests/neighbours_test.cc
+++ b/src/neighbours/tests/neighbours_test.cc
@@ -177,6 +177,42 @@
   CHECK(seed.remote_domains.count("east") == 0);
 }
 
+TEST_CASE(
+    "neighbours, as much evidence and load as a host tells, fits a message",
+    "[neighbours]") {
+  PartQuarantine quarantine;
+  const Instant now{seconds(100'000)};
+  const std::string long_id(30, 'f');
+  for (int i = 0; i < 120; ++i) {
+    // Every third crash is explained by one of ten quarantined parts.
+    EngineCrash crash{UpstreamId{"i-" + std::to_string(100'000'000 + i)},
+                      1'790'000'000'000 + i,
+                      seconds(i),
+                      {}};
+    if (i % 3 == 0) {
+      crash.parts.push_back({long_id + std::to_string(i % 10), 1});
+    }
+    for (std::uint32_t depth = 2; depth < 32; ++depth) {
+      crash.parts.push_back(
+          {std::to_string(i) + "-" + std::to_string(depth) + long_id, depth});
+    }
+    quarantine.RecordCrash(now, crash);
+    quarantine.RecordSound(now, std::to_string(i) + "-9" + long_id);
+  }
+  REQUIRE(quarantine.Quarantined(now).size() == 10);
+  NeighbourMessage message;
+  message.host = HostId{"edge-geraldton-a-1"};
+  message.domain = FailureDomainId{"geraldton-a"};
+  message.address = "10.3.64.30:8749";
+  message.evidence = quarantine.Export(now, true);
+  for (int i = 0; i < 256; ++i) {
+    message.worker_loads.push_back(
+        {UpstreamId{"i-" + std::to_string(100'000'000 + i)}, 24, 9, 30'000,
+         60'000});
+  }
+  CHECK(DecodeNeighbourMessage(EncodeNeighbourMessage(message)).ok());
+}
+
 TEST_CASE(
     "neighbours, evidence on crashes with 20% of the datagrams lost, reaches "
     "every host within 4 s and a host that starts later",
--- a/src/quarantine/detail/part_quarantine.h
+++ b/src/quarantine/detail/part_quarantine.h
@@ -57,8 +57,11 @@
   std::size_t max_crashes = 128;
   std::size_t max_parts_per_crash = 64;
   std::size_t max_sound = 512;
-  std::size_t max_exported_crashes = 40;
-  std::size_t max_exported_parts = 8;  ///< per crash
+  // Together with a host's loads, exported evidence has to fit a datagram.
+  std::size_t max_exported_crashes = 32;   ///< that quarantined parts explain
+  std::size_t max_exported_suspects = 12;  ///< other crashes
+  std::size_t max_exported_parts = 6;      ///< per crash
+  std::size_t max_exported_sound = 32;
 };
 
 /// @brief A quarantined part.
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -234,6 +234,11 @@
       evidence.sound.push_back({id, now - at});
     }
   }
+  std::sort(
+      evidence.sound.begin(), evidence.sound.end(),
+      [](const SoundPart& a, const SoundPart& b) { return a.age < b.age; });
+  evidence.sound.resize(
+      std::min(evidence.sound.size(), this->settings.max_exported_sound));
   // The latest crashes of each quarantined part suffice to quarantine it
   // elsewhere; simultaneous ones don't count.
   std::vector<std::pair<Incarnation, const Crash*>> order;
@@ -263,11 +268,12 @@
       evidence.crashes.push_back(this->MakeExport(now, incarnation, *crash));
     }
   }
+  evidence.crashes.resize(
+      std::min(evidence.crashes.size(), this->settings.max_exported_crashes));
+  others.resize(std::min(others.size(), this->settings.max_exported_suspects));
   for (const auto& [incarnation, crash] : others) {
     evidence.crashes.push_back(this->MakeExport(now, incarnation, *crash));
   }
-  evidence.crashes.resize(
-      std::min(evidence.crashes.size(), this->settings.max_exported_crashes));
   return evidence;
 }
 
