--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -17,6 +17,7 @@
 #include "gateway/detail/codec.h"
 #include "gateway/detail/forwarded.h"
 #include "gateway/detail/settings.h"
+#include "limits/limits.h"
 #include "quarantine/quarantine.h"
 #include "retries/retries.h"
 
@@ -28,6 +29,21 @@
   Duration age{0};  ///< all changes accepted before `now - age` are included
 };
 
+/// @brief Where a worker's limit was heard.
+enum class LimitSource {
+  kResponse,   ///< to a request of a caller
+  kReport,     ///< the response to a poll; need not name the limit
+  kNeighbour,  ///< relayed by another host
+};
+
+template <>
+struct EnumTable<LimitSource> {
+  static constexpr EnumName<LimitSource> kRows[] = {
+      {LimitSource::kResponse, "response"},
+      {LimitSource::kReport, "report"},
+      {LimitSource::kNeighbour, "neighbour"}};
+};
+
 /// @brief Callbacks into the host that owns a Forwarding.
 struct ForwardingHooks {
   std::function<ActiveDeployment(Instant)> deployment;
@@ -41,6 +57,8 @@
   std::function<void(Instant)> loads_changed;
   /// Called when the quarantine received evidence from a request of this host.
   std::function<void(Instant)> evidence_changed;
+  /// Called when a response changed the limit of its worker.
+  std::function<void(Instant)> limits_changed;
   /// Returns whether the workers of a failure domain get no requests for now.
   std::function<bool(const FailureDomainId&)> is_evacuated;
 };
@@ -77,8 +95,8 @@
   /// @brief Drops the load of a worker that terminated or restarted.
   void RemoveWorker(const UpstreamId& worker) {
     this->loads.Remove(worker);
-    this->held_until.erase(worker);
-    this->named_limits.erase(worker);
+    this->allowances.Remove(worker);
+    this->unreadable_limits.erase(worker);
   }
 
   /// @brief Advances the timers: deadlines, hedged attempts and migrations;
@@ -89,6 +107,14 @@
   /// @brief Ends all requests; the process is about to terminate.
   void EndAll(Instant now);
 
+  /// @brief Applies a limit that a worker named, or its end.
+  /// @return whether it changed
+  bool ApplyLimit(Instant now, const LimitNotice& notice, LimitSource source);
+
+  /// @return what this host may send to the workers
+  WorkerAllowances& Allowances() { return this->allowances; }
+  const WorkerAllowances& Allowances() const { return this->allowances; }
+
   /// @return the placements of this host and of others
   LoadTable& Loads() { return this->loads; }
 
@@ -173,7 +199,7 @@
                           const Attempt& attempt, const std::string& address,
                           std::optional<ResumePoint> resume) const;
   std::vector<LoadCandidate> Candidates(Instant now,
-                                        const ForwardedRequest& flow) const;
+                                        const ForwardedRequest& flow);
   /// @brief Returns the refusal of a request that no worker may get now.
   Problem NoWorkerProblem(Instant now, const ForwardedRequest& flow);
   Distance DistanceTo(const FailureDomainId& domain) const {
@@ -201,8 +227,8 @@
 
   // Migration; in forwarding_migration.cc.
   HttpCall MakeReportCall(const WorkerRegistration& worker);
-  void RequestReport(const WorkerRegistration& worker, ReportPurpose purpose,
-                     Instant noticed_at);
+  void RequestReport(Instant now, const WorkerRegistration& worker,
+                     ReportPurpose purpose, Instant noticed_at);
   /// @return number of engines in this failure domain
   std::size_t RequestLoadReports(Instant now);
   void HandleLoadReport(Instant now, const ReportCall& call);
@@ -211,10 +237,13 @@
   /// @brief Handles what every response of a worker may tell about it.
   void ApplyWorkerState(Instant now, const UpstreamId& worker, int status,
                         const WorkerResponse& response);
-  /// @brief Logs changes of the limit that a worker names.
-  void LogLimit(const UpstreamId& worker, const WorkerResponse& response);
-  /// @return when the worker wants requests again; past if it does now
-  Instant HeldUntil(const UpstreamId& worker) const;
+  /// @brief Reads the limit in a response to a call that was sent at `sent`.
+  void ReadLimit(Instant now, const UpstreamId& worker, Instant sent,
+                 const WorkerResponse& response, LimitSource source);
+  /// @brief Returns when the next refused caller of a service may return, at
+  /// the rate that this host's share of the workers' limits serves.
+  Duration ReserveReturn(Instant now, const std::string& service,
+                         double per_second);
   bool OnMigrationChunk(const HttpChunk& chunk);
   void HandleStreamReport(Instant now, const ReportCall& call);
   void ScheduleMigration(Instant now, ForwardedRequest* flow,
@@ -260,10 +289,10 @@
   std::set<Timer> timers;
   std::unordered_map<std::uint64_t, std::uint64_t> flow_of_migration;
   std::unordered_map<std::uint64_t, ReportCall> reports;
-  /// Limits that workers named last, for the log.
-  std::map<UpstreamId, double> named_limits;
-  /// Workers that asked for a pause with 503 and Retry-After.
-  std::map<UpstreamId, Instant> held_until;
+  WorkerAllowances allowances;
+  std::set<UpstreamId> unreadable_limits;  ///< workers, logged once
+  /// When the last refused caller of a service was told to return.
+  std::map<std::string, Instant> returns;
   Instant next_load_poll{};
   std::set<std::uint64_t> releases;  ///< calls whose response is ignored
   Actions actions;
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -69,6 +69,7 @@
   void ServeOperator(Instant now, const CallerRequest& request);
   std::string RenderRequests(Instant now) const;
   std::string RenderQuarantine(Instant now) const;
+  std::string RenderLimits(Instant now) const;
   /// @brief Ends the suspicion against a part, on all hosts.
   /// @return false if the part is not suspect
   bool ReleasePart(Instant now, const std::string& id);
@@ -79,6 +80,8 @@
   /// @brief Sends the latest changes of a kind to the neighbours.
   void Relay(Instant now, const KindWatch& watch);
   void RequestChanges(Instant now, const MissingChanges& missing);
+  /// @return whether a limit changed here
+  bool ApplyLimits(Instant now, const std::vector<LimitNotice>& limits);
   void Log(LogLevel level, std::string message, std::vector<LogField> fields);
 
   GatewaySettings settings;
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -43,7 +43,8 @@
       quarantine(quarantine),
       metrics(metrics),
       loads(settings.seed),
-      random(settings.seed + 1) {}
+      random(settings.seed + 1),
+      allowances(settings.self, settings.failure_domain) {}
 
 void Forwarding::Log(LogLevel level, std::string message,
                      std::vector<LogField> fields) {
@@ -97,6 +98,8 @@
                   "no worker of the service accepts new work",
                   this->RetryAfter(now, flow)};
   Instant first_end = kNever;
+  double limited_rate = 0;
+  bool has_free_workers = false;
   bool has_workers = false;
   bool has_allowed_workers = false;
   for (const WorkerRegistration* worker :
@@ -110,9 +113,13 @@
       problem.detail = "the workers of the service are evacuated";
       continue;
     }
-    const Instant end = this->HeldUntil(worker->id);
+    const Instant end = this->allowances.HeldUntil(worker->id);
     if (end > now) {
       first_end = std::min(first_end, end);
+    } else if (this->allowances.MaySend(now, worker->id)) {
+      has_free_workers = true;  // all of them were tried
+    } else {
+      limited_rate += this->allowances.FleetRate(now, worker->id).value_or(0);
     }
   }
   if (has_workers && !has_allowed_workers) {
@@ -128,6 +135,15 @@
     }
     return problem;
   }
+  if (has_free_workers) {
+    return problem;
+  }
+  if (limited_rate > 0) {
+    problem.detail = "the workers of the service limit their requests";
+    problem.retry_after = this->ReserveReturn(
+        now, flow.service, this->allowances.MeanHostRate(limited_rate));
+    return problem;
+  }
   if (first_end != kNever) {
     // An earlier return would be refused again. The usual delay spreads
     // callers.
@@ -137,6 +153,15 @@
   return problem;
 }
 
+Duration Forwarding::ReserveReturn(Instant now, const std::string& service,
+                                   double per_second) {
+  constexpr Duration kMaxDelay = std::chrono::seconds(60);
+  Instant& last = this->returns[service];
+  last = std::max(last, now) + std::min(kMaxDelay, FromSeconds(1 / per_second));
+  last = std::min(last, now + kMaxDelay);
+  return last - now;
+}
+
 std::optional<Problem> Forwarding::Admit(Instant now, ForwardedRequest* flow) {
   const CallerRequest& request = flow->request;
   const ActiveDeployment active = this->hooks.deployment(now);
@@ -262,18 +287,13 @@
          (flow.holder == nullptr || allows(flow.holder->regions));
 }
 
-Instant Forwarding::HeldUntil(const UpstreamId& worker) const {
-  const auto found = this->held_until.find(worker);
-  return found == this->held_until.end() ? Instant{} : found->second;
-}
-
 std::vector<LoadCandidate> Forwarding::Candidates(
-    Instant now, const ForwardedRequest& flow) const {
+    Instant now, const ForwardedRequest& flow) {
   const ForwardingService* service = flow.table->FindService(flow.service);
   std::vector<LoadCandidate> candidates;
   for (const WorkerRegistration* worker :
        this->directory->AvailableWorkers(flow.service)) {
-    if (this->HeldUntil(worker->id) > now ||
+    if (!this->allowances.MaySend(now, worker->id) ||
         this->hooks.is_evacuated(worker->domain) ||
         !MayServe(flow, this->RegionOf(worker->domain))) {
       continue;
@@ -348,6 +368,7 @@
   ++flow->attempts;
   ++flow->possible_runs;
   flow->tried.push_back(choice->worker);
+  this->allowances.RecordSend(now, choice->worker);
   this->loads.Begin(now, choice->worker, flow->size);
   this->hooks.loads_changed(now);
   this->flow_of_call[attempt.call.value] = flow->request.id.value;
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-void Forwarding::OnLeaving(Instant /*now*/, const WorkerRegistration& worker,
+void Forwarding::OnLeaving(Instant now, const WorkerRegistration& worker,
                            Instant noticed_at) {
   const auto is_affected = [&worker](const auto& entry) {
     const ForwardedRequest& flow = entry.second;
@@ -44,7 +44,7 @@
       !service->engine->supports_migration) {
     return;
   }
-  this->RequestReport(worker, ReportPurpose::kMigrationPlan, noticed_at);
+  this->RequestReport(now, worker, ReportPurpose::kMigrationPlan, noticed_at);
 }
 
 HttpCall Forwarding::MakeReportCall(const WorkerRegistration& worker) {
@@ -55,10 +55,11 @@
   return call;
 }
 
-void Forwarding::RequestReport(const WorkerRegistration& worker,
+void Forwarding::RequestReport(Instant now, const WorkerRegistration& worker,
                                ReportPurpose purpose, Instant noticed_at) {
   HttpCall call = this->MakeReportCall(worker);
   this->reports[call.id.value] = {worker, purpose, noticed_at, {}, 0, {}};
+  this->allowances.RecordSend(now, worker.id);
   this->actions.emplace_back(std::move(call));
 }
 
@@ -85,10 +86,12 @@
         continue;
       }
       ++nearby;
+      // A limited worker's allowance is for callers' requests.
       if (!has_pending_report(worker->id) &&
-          this->HeldUntil(worker->id) <= now &&
+          this->allowances.MaySend(now, worker->id) &&
+          !this->allowances.FleetRate(now, worker->id).has_value() &&
           !this->hooks.is_evacuated(worker->domain)) {
-        this->RequestReport(*worker, ReportPurpose::kLoadPoll, now);
+        this->RequestReport(now, *worker, ReportPurpose::kLoadPoll, now);
       }
     }
   }
@@ -128,8 +131,10 @@
       report != this->reports.end()) {
     report->second.status = head.status;
     const UpstreamId worker = report->second.worker.id;
-    this->ApplyWorkerState(now, worker, head.status,
-                           this->codec.worker_response(head.headers));
+    const WorkerResponse response = this->codec.worker_response(head.headers);
+    this->ApplyWorkerState(now, worker, head.status, response);
+    this->ReadLimit(now, worker, report->second.noticed_at, response,
+                    LimitSource::kReport);
     return true;
   }
   if (const auto found = this->flow_of_migration.find(head.id.value);
@@ -361,6 +366,7 @@
   migration.body.clear();
   migration.command_sent_at = now;
   ++migration.transfer_attempts;
+  this->allowances.RecordSend(now, migration.source);
   this->flow_of_migration[call.id.value] = flow->request.id.value;
   this->actions.emplace_back(std::move(call));
   // A leaving worker closes its connection after each response. Opening the
@@ -495,6 +501,7 @@
   attempt.sent = now;
   this->BudgetOf(flow->service).Spend(now);  // counts as a repeated request
   flow->size.prompt_tokens = 0;              // prefill is done
+  this->allowances.RecordSend(now, target);
   this->loads.Begin(now, target, flow->size);
   this->hooks.loads_changed(now);
   this->flow_of_call[attempt.call.value] = flow->request.id.value;
--- a/src/gateway/forwarding_quarantine.cc
+++ b/src/gateway/forwarding_quarantine.cc
@@ -80,6 +80,7 @@
   call.total_timeout = kCrashCheckTimeout;
   this->reports[call.id.value] = {
       *worker, ReportPurpose::kCrashCheck, now, std::move(request), 0, {}};
+  this->allowances.RecordSend(now, worker->id);
   this->actions.emplace_back(std::move(call));
 }
 
@@ -88,6 +89,7 @@
       ++call.suspect.checks < kMaxCrashChecks) {
     HttpCall again = this->MakeReportCall(call.worker);
     again.total_timeout = kCrashCheckTimeout;
+    this->allowances.RecordSend(now, call.worker.id);
     this->reports[again.id.value] = std::move(call);
     this->actions.emplace_back(std::move(again));
     return;
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -74,6 +74,11 @@
                      AttemptEnd::kMalformed);
     return true;
   }
+  constexpr int kMisdirected = 421;  // another worker's response
+  if (head.status != kMisdirected) {
+    this->ReadLimit(now, attempt->worker, attempt->sent, attempt->response,
+                    LimitSource::kResponse);
+  }
   attempt->relaying = success && flow->Streaming();
   return true;
 }
@@ -82,43 +87,62 @@
                                   int status, const WorkerResponse& response) {
   constexpr int kUnavailable = 503;
   if (status == kUnavailable && response.retry_after.has_value()) {
-    Instant& until = this->held_until[worker];
-    if (until < now) {
-      this->Log(LogLevel::kInfo, "worker wants a pause",
+    if (this->allowances.HeldUntil(worker) < now) {
+      this->Log(LogLevel::kInfo, "worker requests a pause",
                 {{"worker", worker.value},
                  {"pause_ms", MillisecondsText(*response.retry_after)}});
     }
-    until = std::max(until, now + *response.retry_after);
+    this->allowances.Hold(worker, now + *response.retry_after);
   }
   if (response.leaving) {
     this->hooks.worker_leaving(now, worker);
   }
-  this->LogLimit(worker, response);
 }
 
-void Forwarding::LogLimit(const UpstreamId& worker,
-                          const WorkerResponse& response) {
-  if (response.limit_unreadable) {
-    this->Log(LogLevel::kWarning, "worker limit unreadable",
-              {{"worker", worker.value}});
+void Forwarding::ReadLimit(Instant now, const UpstreamId& worker, Instant sent,
+                           const WorkerResponse& response, LimitSource source) {
+  const WorkerRegistration* known = this->directory->Find(worker);
+  if (known == nullptr) {
     return;
   }
-  const auto known = this->named_limits.find(worker);
-  if (!response.request_limit.has_value()) {
-    if (known != this->named_limits.end()) {
-      this->named_limits.erase(known);
-      this->Log(LogLevel::kInfo, "worker ends its limit",
+  if (response.limit_unreadable) {
+    if (this->unreadable_limits.insert(worker).second) {
+      this->Log(LogLevel::kWarning, "worker limit unreadable",
                 {{"worker", worker.value}});
     }
     return;
   }
-  if (known == this->named_limits.end() ||
-      known->second != *response.request_limit) {
-    this->named_limits[worker] = *response.request_limit;
-    this->Log(LogLevel::kInfo, "worker limits its requests",
-              {{"worker", worker.value},
-               {"per_second", absl::StrCat(*response.request_limit)}});
+  // A response without the id of its request may not be the answer to it.
+  const bool may_end =
+      source == LimitSource::kResponse && !response.request_id.empty();
+  if (!response.request_limit.has_value() && !may_end) {
+    return;
   }
+  const LimitNotice notice{worker, known->started_at, response.request_limit,
+                           now - sent, Duration{0}};
+  if (this->ApplyLimit(now, notice, source)) {
+    this->hooks.limits_changed(now);
+  }
+}
+
+bool Forwarding::ApplyLimit(Instant now, const LimitNotice& notice,
+                            LimitSource source) {
+  const WorkerRegistration* worker = this->directory->Find(notice.worker);
+  const bool changed =
+      worker != nullptr &&
+      this->allowances.Apply(now, notice, worker->domain,
+                             source != LimitSource::kNeighbour);
+  if (changed) {
+    this->Log(LogLevel::kInfo,
+              notice.per_second ? "worker limits its requests"
+                                : "worker ends its limit",
+              {{"worker", notice.worker.value},
+               {"per_second",
+                notice.per_second ? absl::StrCat(*notice.per_second) : "none"},
+               {"source", Text(ToText(source))},
+               {"heard_ms_ago", MillisecondsText(notice.heard_age)}});
+  }
+  return changed;
 }
 
 bool Forwarding::OnChunk(Instant now, const HttpChunk& chunk) {
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -103,7 +103,7 @@
       quarantine_records(
           this->codec.quarantine_kind, &this->store, &this->quarantine,
           {[this](Instant now) {
-             this->neighbours.OnEvidenceChanged(now);
+             this->neighbours.OnGossipChanged(now);
              this->quarantine_changed = true;
            },
            [this](const std::string& part, const std::string& reason) {
@@ -133,9 +133,10 @@
            },
            [this](Instant now) { this->neighbours.OnStateChanged(now); },
            [this](Instant now) {
-             this->neighbours.OnEvidenceChanged(now);
+             this->neighbours.OnGossipChanged(now);
              this->quarantine_changed = true;
            },
+           [this](Instant now) { this->neighbours.OnGossipChanged(now); },
            [this](const FailureDomainId& domain) {
              return this->evacuated.count(domain) > 0;
            }},
@@ -278,6 +279,10 @@
   this->directory.Tick(now);
   this->forwarding.Tick(now);
   this->neighbours.Tick(now);
+  if (std::optional<FleetMembers> members =
+          this->neighbours.TakeChangedMembers()) {
+    this->forwarding.Allowances().SetMembers(now, *std::move(members));
+  }
   this->quarantine_records.Tick(now);
   // Parts are also released by time, and failed writes are repeated.
   this->quarantine_changed =
--- a/src/gateway/gateway_neighbours.cc
+++ b/src/gateway/gateway_neighbours.cc
@@ -88,13 +88,15 @@
     this->forwarding.Loads().ApplyDomainLoads(now, received.domain,
                                               received.loads);
   };
-  hooks.local_evidence = [this](Instant now, bool include_received) {
-    return this->quarantine.Export(now, include_received);
+  hooks.local_gossip = [this](Instant now, bool include_received) {
+    return Gossip{this->quarantine.Export(now, include_received),
+                  this->forwarding.Allowances().Export(now, include_received)};
   };
-  hooks.remote_evidence = [this](Instant now, const CrashEvidence& evidence) {
-    const bool is_new = this->quarantine.Merge(now, evidence);
+  hooks.remote_gossip = [this](Instant now, const Gossip& gossip) {
+    const bool is_new = this->quarantine.Merge(now, gossip.evidence);
     this->quarantine_changed = this->quarantine_changed || is_new;
-    return is_new;
+    const bool limits_changed = this->ApplyLimits(now, gossip.limits);
+    return is_new || limits_changed;
   };
   hooks.domain_lost = [this](const FailureDomainId& domain) {
     this->Log(LogLevel::kInfo, "failure domain silent",
@@ -110,4 +112,18 @@
   return hooks;
 }
 
+bool GatewayHost::ApplyLimits(Instant now,
+                              const std::vector<LimitNotice>& limits) {
+  bool changed = false;
+  for (const LimitNotice& notice : limits) {
+    const WorkerRegistration* known = this->directory.Find(notice.worker);
+    if (known != nullptr && known->started_at == notice.started_at) {
+      changed =
+          this->forwarding.ApplyLimit(now, notice, LimitSource::kNeighbour) ||
+          changed;
+    }
+  }
+  return changed;
+}
+
 }  // namespace limpetlink
--- a/src/gateway/gateway_operators.cc
+++ b/src/gateway/gateway_operators.cc
@@ -17,6 +17,9 @@
   } else if (request.path == "/v1/requests") {
     type = "application/json";
     body = this->RenderRequests(now);
+  } else if (request.path == "/v1/limits") {
+    type = "application/json";
+    body = this->RenderLimits(now);
   } else if (request.path == "/v1/quarantine") {
     type = "application/json";
     body = this->RenderQuarantine(now);
@@ -53,6 +56,19 @@
   return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::string GatewayHost::RenderLimits(Instant now) const {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const LimitedWorker& each : this->forwarding.Allowances().Limited(now)) {
+    rows.push_back({{"worker", each.worker.value},
+                    {"per_second", each.per_second},
+                    {"host_per_second", each.host_per_second},
+                    {"ending", each.ending},
+                    {"heard_seconds_ago", ToSeconds(each.heard_age)}});
+  }
+  const nlohmann::json page = {{"workers", std::move(rows)}};
+  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string GatewayHost::RenderQuarantine(Instant now) const {
   nlohmann::json rows = nlohmann::json::array();
   for (const QuarantinedPart& part : this->quarantine.Quarantined(now)) {
@@ -75,7 +91,7 @@
   }
   this->Log(LogLevel::kWarning, "prompt part released by an operator",
             {{"part", id}});
-  this->neighbours.OnEvidenceChanged(now);
+  this->neighbours.OnGossipChanged(now);
   this->quarantine_changed = true;
   return true;
 }
--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -96,6 +96,12 @@
       response.retry_after = milliseconds(
           std::stol(GatewayFixture::HeaderOf(headers, "pause-ms")));
     }
+    if (const std::string* limit = FindHeader(headers, "limit")) {
+      response.limit_unreadable = *limit == "unreadable";
+      if (!response.limit_unreadable) {
+        response.request_limit = std::stod(*limit);
+      }
+    }
     return response;
   };
   codec.caller_headers = [](const Headers& headers) { return headers; };
--- a/src/gateway/tests/worker_state_test.cc
+++ b/src/gateway/tests/worker_state_test.cc
@@ -221,5 +221,111 @@
   CHECK(this->StreamsPlacedAt("one") > 0);
 }
 
+/// @brief A host with two engines, of which one has named a limit.
+class WorkerLimitFixture : public WorkerStateFixture {
+ public:
+  WorkerLimitFixture() {
+    this->Answer(this->StreamAt("one"), {{"limit", "2"}});
+    this->Advance(milliseconds(1000));
+    this->Drop();
+  }
+
+  void Answer(const HttpCall& call, Headers headers) {
+    this->Respond(call, 200, "id: 1\n\n", std::move(headers));
+  }
+
+  /// @brief Completes all other calls.
+  void Drop() {
+    for (const HttpCall& call : this->TakeCalls()) {
+      this->Respond(call, 200, "id: 1\n\n");
+    }
+  }
+
+  /// @return streams placed at the worker in a time; answered with the headers
+  int PlacedIn(Duration span, const std::string& worker,
+               const Headers& headers) {
+    int count = 0;
+    for (Duration passed{0}; passed < span; passed += milliseconds(50)) {
+      this->Advance(milliseconds(50));
+      this->SendRequest("/stream/7");
+      for (const HttpCall& call : this->TakeCalls()) {
+        const bool is_stream = call.url.find("/stream/") != std::string::npos;
+        const bool counts =
+            is_stream && HeaderOf(call.headers, "worker") == worker;
+        count += counts ? 1 : 0;
+        this->Respond(call, 200, "id: 1\n\n", counts ? headers : Headers{});
+      }
+    }
+    return count;
+  }
+};
+
+TEST_CASE_METHOD(WorkerLimitFixture,
+                 "worker limit, named in a response, is kept until a response "
+                 "without it",
+                 "[gateway]") {
+  const int placed = this->PlacedIn(seconds(10), "one", {{"limit", "2"}});
+  CHECK(placed >= 15);
+  CHECK(placed <= 21);
+  this->PlacedIn(seconds(6), "one", {});
+  CHECK(this->PlacedIn(seconds(4), "one", {}) > 16);
+}
+
+TEST_CASE_METHOD(WorkerLimitFixture,
+                 "worker limit, unreadable in a response, neither begins nor "
+                 "ends",
+                 "[gateway]") {
+  CHECK(this->PlacedIn(seconds(10), "one", {{"limit", "unreadable"}}) <= 21);
+  CHECK(this->PlacedIn(seconds(4), "two", {{"limit", "unreadable"}}) > 60);
+}
+
+TEST_CASE_METHOD(WorkerLimitFixture,
+                 "worker limit, a response that isn't the answer to its "
+                 "request, neither begins nor ends it",
+                 "[gateway]") {
+  SECTION("late answer to an earlier request") {
+    this->RespondHead(this->StreamAt("one"), 200, {{"id", "other"}});
+  }
+  SECTION("another worker at its address") {
+    this->Respond(this->StreamAt("one"), 421, "", {{"not-run", "yes"}});
+  }
+  this->Drop();
+  CHECK(this->PlacedIn(seconds(10), "one", {{"limit", "2"}}) <= 21);
+}
+
+TEST_CASE_METHOD(WorkerLimitFixture,
+                 "worker limit, restarts, the worker is not limited",
+                 "[gateway]") {
+  this->Unregister("one");
+  this->Advance(seconds(3));
+  this->Drop();
+  this->Register("one", "engines");
+  CHECK(this->PlacedIn(seconds(4), "one", {}) > 16);
+}
+
+TEST_CASE_METHOD(WorkerLimitFixture,
+                 "worker limit, a neighbour named it, is kept unless the "
+                 "neighbour speaks of another incarnation",
+                 "[gateway]") {
+  NeighbourMessage message;
+  message.host = HostId{"10.0.0.3"};
+  message.domain = FailureDomainId{"here"};
+  message.address = "10.0.0.3:7";
+  message.sequence = 1;
+  LimitNotice notice{UpstreamId{"two"}, 0, 1.0, milliseconds(50), {}};
+  SECTION("this incarnation") {
+    message.gossip.limits = {notice};
+    this->ReceiveFromNeighbour(message);
+    // Two hosts of one domain: this one's share is half of the limit.
+    CHECK(this->PlacedIn(seconds(10), "two", {{"limit", "1"}}) <= 7);
+  }
+  SECTION("another incarnation") {
+    notice.started_at = 1;
+    message.gossip.limits = {notice};
+    this->ReceiveFromNeighbour(message);
+    CHECK(this->PlacedIn(seconds(10), "two", {}) > 50);
+  }
+}
+
 }  // namespace
 }  // namespace limpetlink::testing
--- /dev/null
+++ b/src/limits/worker_allowances.cc
@@ -0,0 +1,215 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "limits/limits.h"
+
+namespace limpetlink {
+namespace {
+
+// Notices that a host repeats of its own accord.
+constexpr Duration kRecentlyHeard = std::chrono::seconds(5);
+
+std::uint64_t OrderOf(const UpstreamId& worker, const std::string& member) {
+  return StableHash(worker.value + "/" + member);
+}
+
+}  // namespace
+
+WorkerAllowances::WorkerAllowances(HostId self, FailureDomainId domain,
+                                   AllowanceSettings settings)
+    : self(std::move(self)),
+      domain(std::move(domain)),
+      settings(settings),
+      members{{this->self}, {this->domain}} {}
+
+void WorkerAllowances::SetMembers(Instant now, FleetMembers members) {
+  if (this->members == members) {
+    return;
+  }
+  for (auto& [worker, entry] : this->entries) {
+    this->Refill(now, worker, &entry);
+  }
+  this->members = std::move(members);
+}
+
+bool WorkerAllowances::Apply(Instant now, const LimitNotice& notice,
+                             const FailureDomainId& domain, bool heard_here) {
+  const Instant sent_at = now - notice.sent_age;
+  const Instant heard_at = now - notice.heard_age;
+  const auto found = this->entries.find(notice.worker);
+  if (found == this->entries.end()) {
+    if (!notice.per_second.has_value()) {
+      return false;
+    }
+    this->entries[notice.worker] = {notice.started_at,
+                                    domain,
+                                    notice.per_second,
+                                    *notice.per_second,
+                                    sent_at,
+                                    heard_at,
+                                    {},
+                                    heard_here,
+                                    0,
+                                    now};
+    return true;
+  }
+  Entry& entry = found->second;
+  const bool was_limited = entry.per_second.has_value();
+  const bool applies = notice.per_second.has_value()
+                           ? (was_limited ? heard_at > entry.heard_at
+                                          : heard_at >= entry.sent_at)
+                           : sent_at > entry.heard_at + this->settings.transit;
+  if (!applies || (!was_limited && !notice.per_second.has_value())) {
+    return false;
+  }
+  this->Refill(now, notice.worker, &entry);
+  const bool changed = entry.per_second != notice.per_second;
+  entry.per_second = notice.per_second;
+  entry.sent_at = sent_at;
+  entry.heard_at = heard_at;
+  entry.heard_here = heard_here;
+  if (notice.per_second.has_value()) {
+    entry.last_per_second = *notice.per_second;
+  } else {
+    entry.ended_at = now;
+  }
+  return changed;
+}
+
+void WorkerAllowances::Hold(const UpstreamId& worker, Instant until) {
+  Instant& end = this->held_until[worker];
+  end = std::max(end, until);
+}
+
+Instant WorkerAllowances::HeldUntil(const UpstreamId& worker) const {
+  const auto found = this->held_until.find(worker);
+  return found == this->held_until.end() ? Instant{} : found->second;
+}
+
+std::optional<double> WorkerAllowances::RateOf(Instant now,
+                                               const Entry& entry) const {
+  if (entry.per_second.has_value()) {
+    return std::max(*entry.per_second, this->settings.min_per_second);
+  }
+  const Duration since = now - entry.ended_at;
+  if (since >= this->settings.ramp) {
+    return std::nullopt;
+  }
+  return std::max(entry.last_per_second, 1.0) *
+         std::exp2(ToSeconds(since) / ToSeconds(this->settings.ramp_doubling));
+}
+
+double WorkerAllowances::ShareOf(const UpstreamId& worker, const Entry& entry,
+                                 double rate) const {
+  const auto senders = static_cast<std::size_t>(
+      std::min(this->settings.min_senders +
+                   std::floor(this->settings.senders_per_rate * rate),
+               1e6));
+  // The worker's own domain comes first, the others in the order of a hash.
+  const auto rank = [&](const FailureDomainId& each) {
+    return std::pair(each != entry.domain, OrderOf(worker, each.value));
+  };
+  const std::size_t domain_index = static_cast<std::size_t>(
+      std::count_if(this->members.domains.begin(), this->members.domains.end(),
+                    [&](const FailureDomainId& each) {
+                      return rank(each) < rank(this->domain);
+                    }));
+  const std::size_t domains = std::min(this->members.domains.size(), senders);
+  if (domain_index >= domains) {
+    return 0;
+  }
+  const std::size_t quota =
+      senders / domains + (domain_index < senders % domains ? 1 : 0);
+  const std::size_t hosts = std::min(this->members.hosts.size(), quota);
+  const std::uint64_t own_order = OrderOf(worker, this->self.value);
+  const std::size_t host_index = static_cast<std::size_t>(
+      std::count_if(this->members.hosts.begin(), this->members.hosts.end(),
+                    [&](const HostId& each) {
+                      return OrderOf(worker, each.value) < own_order;
+                    }));
+  return host_index >= hosts ? 0 : rate / static_cast<double>(domains * hosts);
+}
+
+void WorkerAllowances::Refill(Instant now, const UpstreamId& worker,
+                              Entry* entry) const {
+  // During the ramp the rate at the last refill counts, which is lower.
+  const std::optional<double> rate =
+      this->RateOf(std::max(entry->refilled, entry->ended_at), *entry);
+  if (rate.has_value() && now > entry->refilled) {
+    const double share = this->ShareOf(worker, *entry, *rate);
+    const double burst = std::max(1.0, share * ToSeconds(this->settings.burst));
+    entry->tokens = std::min(
+        burst, entry->tokens + share * ToSeconds(now - entry->refilled));
+  }
+  entry->refilled = std::max(entry->refilled, now);
+}
+
+bool WorkerAllowances::MaySend(Instant now, const UpstreamId& worker) {
+  if (this->HeldUntil(worker) > now) {
+    return false;
+  }
+  const auto found = this->entries.find(worker);
+  if (found == this->entries.end() ||
+      !this->RateOf(now, found->second).has_value()) {
+    return true;
+  }
+  this->Refill(now, worker, &found->second);
+  return found->second.tokens >= 1;
+}
+
+void WorkerAllowances::RecordSend(Instant now, const UpstreamId& worker) {
+  const auto found = this->entries.find(worker);
+  if (found != this->entries.end()) {
+    this->Refill(now, worker, &found->second);
+    found->second.tokens -= 1;
+  }
+}
+
+std::optional<double> WorkerAllowances::FleetRate(
+    Instant now, const UpstreamId& worker) const {
+  const auto found = this->entries.find(worker);
+  return found == this->entries.end() ? std::nullopt
+                                      : this->RateOf(now, found->second);
+}
+
+double WorkerAllowances::MeanHostRate(double fleet_rate) const {
+  return fleet_rate / static_cast<double>(this->members.hosts.size() *
+                                          this->members.domains.size());
+}
+
+std::vector<LimitedWorker> WorkerAllowances::Limited(Instant now) const {
+  std::vector<LimitedWorker> limited;
+  for (const auto& [worker, entry] : this->entries) {
+    const std::optional<double> rate = this->RateOf(now, entry);
+    if (rate.has_value()) {
+      limited.push_back({worker, *rate, this->ShareOf(worker, entry, *rate),
+                         !entry.per_second.has_value(), now - entry.heard_at});
+    }
+  }
+  return limited;
+}
+
+std::vector<LimitNotice> WorkerAllowances::Export(Instant now,
+                                                  bool include_received) const {
+  std::vector<LimitNotice> notices;
+  for (const auto& [worker, entry] : this->entries) {
+    const bool own = entry.heard_here && now - entry.heard_at < kRecentlyHeard;
+    if (own || include_received) {
+      notices.push_back({worker, entry.started_at, entry.per_second,
+                         now - entry.sent_at, now - entry.heard_at});
+    }
+  }
+  std::sort(notices.begin(), notices.end(),
+            [](const LimitNotice& a, const LimitNotice& b) {
+              return a.heard_age < b.heard_age;
+            });
+  return notices;
+}
+
+void WorkerAllowances::Remove(const UpstreamId& worker) {
+  this->entries.erase(worker);
+  this->held_until.erase(worker);
+}
+
+}  // namespace limpetlink
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "base/base.h"
 #include "discovery/discovery.h"
+#include "limits/limits.h"
 #include "quarantine/quarantine.h"
 #include "routing/routing.h"
 
@@ -51,6 +52,18 @@
   std::uint64_t era = 0;         ///< of the store; scopes the revisions
 };
 
+/// @brief What hosts have learnt about workers and repeat to each other. It may
+/// arrive late, repeatedly and in any order.
+struct Gossip {
+  CrashEvidence evidence;
+  std::vector<LimitNotice> limits;  ///< the first kMaxLimitNotices are sent
+
+  bool Empty() const { return this->evidence.Empty() && this->limits.empty(); }
+};
+
+/// Limit notices in a message, which has to fit a datagram.
+inline constexpr std::size_t kMaxLimitNotices = 32;
+
 /// @brief The complete state of a host that its neighbours need. Each message
 /// replaces the previous one, so a lost datagram loses only its own update.
 struct NeighbourMessage {
@@ -86,7 +99,7 @@
   /// store.
   Duration removal_delay{0};
   /// Sent with the state of a host or domain, after a change and each second.
-  CrashEvidence evidence;
+  Gossip gossip;
 };
 
 /// @brief Encodes a message as CBOR.
--- a/src/neighbours/detail/neighbours.h
+++ b/src/neighbours/detail/neighbours.h
@@ -59,12 +59,12 @@
   /// Receives the load of another failure domain, which replaces its previous
   /// one.
   std::function<void(Instant, const DomainLoads&)> remote_domain_loads;
-  /// Returns this host's evidence on prompt parts that end engines; with what
-  /// others told it if `include_received`.
-  std::function<CrashEvidence(Instant, bool include_received)> local_evidence;
-  /// Receives the evidence of another host.
+  /// Returns what this host has learnt about workers; with what it received
+  /// from others if `include_received`.
+  std::function<Gossip(Instant, bool include_received)> local_gossip;
+  /// Receives the gossip of another host.
   /// @return whether any of it is new here
-  std::function<bool(Instant, const CrashEvidence&)> remote_evidence;
+  std::function<bool(Instant, const Gossip&)> remote_gossip;
   /// Called when no loads of a failure domain were received in time.
   std::function<void(const FailureDomainId&)> domain_lost;
 };
@@ -89,8 +89,8 @@
   /// @brief Schedules a state message to the neighbours after a change here.
   void OnStateChanged(Instant now);
 
-  /// @brief Schedules messages with this host's evidence on crashes.
-  void OnEvidenceChanged(Instant now);
+  /// @brief Schedules messages with this host's gossip.
+  void OnGossipChanged(Instant now);
 
   /// @brief Advertises a completed linearizable read with the next Tick.
   void OnLinearizableRead(Instant now) { this->next_linearizable_reads = now; }
@@ -120,6 +120,11 @@
   /// neighbours are disabled
   Instant NextWakeup() const;
 
+  /// @brief Returns the members of the fleet if they changed since the last
+  /// call. Hosts and domains stay members for a while after they became
+  /// unresponsive, and all of them while this host hears nobody.
+  std::optional<FleetMembers> TakeChangedMembers();
+
   std::size_t Count() const { return this->neighbours.size(); }
   Actions TakeActions() { return std::exchange(this->actions, {}); }
 
@@ -163,9 +168,11 @@
   void StoreContact(Instant now, const DomainContact& contact);
   void HandleDomainLoads(Instant now, const NeighbourMessage& message);
   void SendDomainLoads(Instant now);
-  /// @return the evidence if it is due, and schedules the next time
-  CrashEvidence TakeDueEvidence(Instant now, Instant* due,
-                                bool include_received);
+  /// @return the gossip if it is due, and schedules the next time
+  Gossip TakeDueGossip(Instant now, Instant* due, bool include_received);
+  void NoteMember(Instant now, const HostId& host);
+  void NoteDomain(Instant now, const FailureDomainId& domain);
+  void ExpireMembers(Instant now);
   void RemoveUnresponsive(Instant now);
   /// @return whether this host sends the domain's loads to other domains
   bool HasLowestId() const;
@@ -177,6 +184,9 @@
   std::map<FailureDomainId, Contact> contacts;  ///< of other domains
   std::map<FailureDomainId, Instant> domain_updates;
   std::vector<LeavingRecord> leaving;
+  std::map<HostId, Instant> heard_hosts;  ///< of the own failure domain
+  std::map<FailureDomainId, Instant> heard_domains;
+  bool members_changed = false;
   /// Hosts that have just started and know no read yet.
   std::set<HostId> new_neighbours;
   std::uint64_t sequence = 0;
@@ -185,9 +195,9 @@
   Instant next_state{};
   Instant next_request{};
   Instant next_domain_loads{};
-  Instant next_evidence{};                      ///< to neighbours
-  Instant next_domain_evidence{};               ///< to other domains
-  std::optional<Instant> last_domain_evidence;  ///< from another domain
+  Instant next_gossip{};                      ///< to neighbours
+  Instant next_domain_gossip{};               ///< to other domains
+  std::optional<Instant> last_domain_gossip;  ///< from another domain
   Instant next_linearizable_reads = kNever;
   Instant next_changes = kNever;
   std::optional<Instant> first_message_at;  ///< of this process
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "neighbours/neighbours.h"
@@ -15,6 +17,9 @@
 constexpr std::size_t kMaxRecordBytes = kMaxBytes;
 constexpr std::uint64_t kMaxTokens = 1ULL << 40U;
 constexpr std::uint64_t kMaxAgeMs = 60'000;
+// A limit lasts until a response shows its end.
+constexpr std::uint64_t kMaxNoticeAgeMs = 365ULL * 24 * 3600 * 1000;
+constexpr double kMaxRequestRate = 1e6;  // per second
 constexpr std::uint64_t kMaxRunning = 1ULL << 20U;
 
 /// @brief Reads the members of a message. `valid` becomes false with the first
@@ -179,6 +184,49 @@
       .count();
 }
 
+Json EncodeLimits(const std::vector<LimitNotice>& limits) {
+  constexpr double kMilli = 1000;
+  Json rows = Json::array();
+  for (const LimitNotice& limit : limits) {
+    if (rows.size() == kMaxLimitNotices) {
+      break;
+    }
+    const double per_second =
+        std::min(limit.per_second.value_or(0), kMaxRequestRate);
+    rows.push_back(
+        {limit.worker.value, limit.started_at, limit.per_second.has_value(),
+         static_cast<std::uint64_t>(std::llround(per_second * kMilli)),
+         InMilliseconds(limit.sent_age), InMilliseconds(limit.heard_age)});
+  }
+  return rows;
+}
+
+std::vector<LimitNotice> ReadLimits(const Json& root, Reader* reader) {
+  constexpr double kMilli = 1000;
+  std::vector<LimitNotice> limits;
+  for (const Json& row : reader->Rows(root, "limits", 6)) {
+    reader->valid =
+        reader->valid && row[1].is_number_integer() && row[2].is_boolean();
+    if (!reader->valid) {
+      break;
+    }
+    LimitNotice limit;
+    limit.worker.value = reader->Text(row[0]);
+    limit.started_at = row[1].get<std::int64_t>();
+    const auto milli = static_cast<double>(reader->Number(
+        row[3], static_cast<std::uint64_t>(kMaxRequestRate * kMilli)));
+    if (row[2].get<bool>()) {
+      limit.per_second = milli / kMilli;
+    }
+    limit.sent_age =
+        std::chrono::milliseconds(reader->Number(row[4], kMaxNoticeAgeMs));
+    limit.heard_age =
+        std::chrono::milliseconds(reader->Number(row[5], kMaxNoticeAgeMs));
+    limits.push_back(std::move(limit));
+  }
+  return limits;
+}
+
 }  // namespace
 
 std::string EncodeNeighbourMessage(const NeighbourMessage& message) {
@@ -229,8 +277,11 @@
     root["loads_of"] = message.domain_loads->domain.value;
     root["loads"] = EncodeLoads(message.domain_loads->loads);
   }
-  if (!message.evidence.Empty()) {
-    root["evidence"] = ToJson(message.evidence);
+  if (!message.gossip.evidence.Empty()) {
+    root["evidence"] = ToJson(message.gossip.evidence);
+  }
+  if (!message.gossip.limits.empty()) {
+    root["limits"] = EncodeLimits(message.gossip.limits);
   }
   return EncodeCbor(root);
 }
@@ -307,7 +358,10 @@
   if (const auto found = root.find("evidence"); found != root.end()) {
     std::optional<CrashEvidence> evidence = CrashEvidenceFromJson(*found);
     reader.valid = reader.valid && evidence.has_value();
-    message.evidence = std::move(evidence).value_or(CrashEvidence{});
+    message.gossip.evidence = std::move(evidence).value_or(CrashEvidence{});
+  }
+  if (root.contains("limits")) {
+    message.gossip.limits = ReadLimits(root, &reader);
   }
   if (!reader.valid) {
     return malformed;
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -19,10 +19,13 @@
 // Other domains place requests here only when they lack capacity themselves;
 // 100 ms is a quarter of the time that an engine takes to read a prompt.
 constexpr Duration kDomainLoadsInterval = std::chrono::milliseconds(100);
-// Evidence on crashes makes a message several times larger; it is sent after a
-// change, and at this interval to make up for lost datagrams.
-constexpr Duration kEvidenceInterval = std::chrono::milliseconds(1000);
+// Gossip makes a message several times larger; it is sent after a change, and
+// at this interval to make up for lost datagrams.
+constexpr Duration kGossipInterval = std::chrono::milliseconds(1000);
 constexpr Duration kDomainTimeout = std::chrono::milliseconds(1600);
+// Hosts that divide a worker's limit count each other for this long after the
+// last message: one that others don't hear may still send to the worker.
+constexpr Duration kMemberLifetime = std::chrono::seconds(30);
 constexpr std::size_t kMaxDomains = 32;
 constexpr std::size_t kMaxNeighbours = 64;
 constexpr std::size_t kMaxRequesters = 2048;
@@ -116,6 +119,7 @@
       this->neighbours[neighbour.host] = {neighbour.address, 0, now,
                                           std::nullopt};
       this->hooks.neighbour_found(neighbour.host);
+      this->NoteMember(now, neighbour.host);
       this->next_state = std::min(this->next_state, now);
     }
   }
@@ -148,6 +152,7 @@
     this->new_neighbours.insert(message.host);
   }
   sender.last_received = now;
+  this->NoteMember(now, message.host);
   sender.peer_clock_ms = message.sent_at_ms;
   this->HandleLinearizableReads(now, message);
   if (message.echo_ms.has_value() || !message.changes.empty()) {
@@ -172,8 +177,8 @@
   sender.address = message.address;
   sender.sequence = message.sequence;
   this->hooks.host_loads(now, message.host, message.worker_loads);
-  if (this->hooks.remote_evidence(now, message.evidence)) {
-    this->next_domain_evidence = now;
+  if (this->hooks.remote_gossip(now, message.gossip)) {
+    this->next_domain_gossip = now;
     this->next_domain_loads = std::min(this->next_domain_loads, now);
   }
   for (const LeavingWorker& worker : message.leaving) {
@@ -186,6 +191,7 @@
   if (contact.domain == this->settings.domain) {
     return;
   }
+  this->NoteDomain(now, contact.domain);
   const auto found = this->contacts.find(contact.domain);
   if (found == this->contacts.end()) {
     if (this->contacts.size() < kMaxDomains) {
@@ -211,11 +217,11 @@
     return;
   }
   this->domain_updates[loads.domain] = now;
+  this->NoteDomain(now, loads.domain);
   this->hooks.remote_domain_loads(now, loads);
-  const bool has_new_evidence =
-      this->hooks.remote_evidence(now, message.evidence);
-  if (!message.evidence.Empty() && message.domain != this->settings.domain) {
-    this->last_domain_evidence = now;
+  const bool has_new_gossip = this->hooks.remote_gossip(now, message.gossip);
+  if (!message.gossip.Empty() && message.domain != this->settings.domain) {
+    this->last_domain_gossip = now;
   }
   for (const LeavingWorker& worker : message.leaving) {
     this->hooks.worker_leaving(now, worker);
@@ -226,8 +232,8 @@
   NeighbourMessage relayed = this->MakeMessage(now, false);
   relayed.domain_loads = loads;
   relayed.leaving = message.leaving;
-  if (has_new_evidence) {
-    relayed.evidence = message.evidence;
+  if (has_new_gossip) {
+    relayed.gossip = message.gossip;
   }
   this->SendToNeighbours(relayed);
 }
@@ -360,14 +366,65 @@
   message.domain_loads =
       DomainLoads{this->settings.domain, this->hooks.own_domain_loads()};
   message.leaving = this->LeavingWorkers(now, true);
-  message.evidence =
-      this->TakeDueEvidence(now, &this->next_domain_evidence, true);
+  message.gossip = this->TakeDueGossip(now, &this->next_domain_gossip, true);
   for (const auto& [domain, contact] : this->contacts) {
     this->SendTo(contact.host.address, message);
   }
 }
 
+void Neighbours::NoteMember(Instant now, const HostId& host) {
+  if (this->heard_hosts.size() < 2 * kMaxNeighbours &&
+      this->heard_hosts.count(host) == 0) {
+    this->members_changed = true;
+    this->heard_hosts[host] = now;
+  } else if (const auto found = this->heard_hosts.find(host);
+             found != this->heard_hosts.end()) {
+    found->second = now;
+  }
+}
+
+void Neighbours::NoteDomain(Instant now, const FailureDomainId& domain) {
+  if (this->heard_domains.size() < kMaxDomains &&
+      this->heard_domains.count(domain) == 0) {
+    this->members_changed = true;
+    this->heard_domains[domain] = now;
+  } else if (const auto found = this->heard_domains.find(domain);
+             found != this->heard_domains.end()) {
+    found->second = now;
+  }
+}
+
+void Neighbours::ExpireMembers(Instant now) {
+  if (this->neighbours.empty() && this->domain_updates.empty()) {
+    return;  // this host may be the one that is cut off
+  }
+  const auto expire = [&](auto* heard) {
+    for (auto it = heard->begin(); it != heard->end();) {
+      const bool expired = now - it->second > kMemberLifetime;
+      this->members_changed = this->members_changed || expired;
+      it = expired ? heard->erase(it) : std::next(it);
+    }
+  };
+  expire(&this->heard_hosts);
+  expire(&this->heard_domains);
+}
+
+std::optional<FleetMembers> Neighbours::TakeChangedMembers() {
+  if (!std::exchange(this->members_changed, false)) {
+    return std::nullopt;
+  }
+  FleetMembers members{{this->settings.self}, {this->settings.domain}};
+  for (const auto& [host, heard_at] : this->heard_hosts) {
+    members.hosts.push_back(host);
+  }
+  for (const auto& [domain, heard_at] : this->heard_domains) {
+    members.domains.push_back(domain);
+  }
+  return members;
+}
+
 void Neighbours::RemoveUnresponsive(Instant now) {
+  this->ExpireMembers(now);
   for (auto it = this->neighbours.begin(); it != this->neighbours.end();) {
     if (now - it->second.last_received <= kNeighbourTimeout) {
       ++it;
@@ -404,20 +461,20 @@
                std::max(now, this->last_state_sent + kMinStateInterval));
 }
 
-void Neighbours::OnEvidenceChanged(Instant now) {
-  this->next_evidence = now;
-  this->next_domain_evidence = now;
+void Neighbours::OnGossipChanged(Instant now) {
+  this->next_gossip = now;
+  this->next_domain_gossip = now;
   this->next_domain_loads = std::min(this->next_domain_loads, now);
   this->OnStateChanged(now);
 }
 
-CrashEvidence Neighbours::TakeDueEvidence(Instant now, Instant* due,
-                                          bool include_received) {
+Gossip Neighbours::TakeDueGossip(Instant now, Instant* due,
+                                 bool include_received) {
   if (now < *due) {
     return {};
   }
-  *due = now + kEvidenceInterval;
-  return this->hooks.local_evidence(now, include_received);
+  *due = now + kGossipInterval;
+  return this->hooks.local_gossip(now, include_received);
 }
 
 void Neighbours::OnWorkerLeaving(Instant now, const LeavingWorker& worker) {
@@ -492,12 +549,12 @@
   NeighbourMessage message = this->MakeMessage(now, false);
   message.worker_loads = this->hooks.local_loads();
   message.leaving = this->LeavingWorkers(now, false);
-  // A host that receives the evidence of other domains repeats it, as what it
+  // A host that receives the gossip of other domains repeats it, as what it
   // relays at once may be lost.
-  const bool is_contact = this->last_domain_evidence.has_value() &&
-                          now - *this->last_domain_evidence < kRequesterTimeout;
-  message.evidence = this->TakeDueEvidence(now, &this->next_evidence,
-                                           is_contact || this->HasLowestId());
+  const bool is_contact = this->last_domain_gossip.has_value() &&
+                          now - *this->last_domain_gossip < kRequesterTimeout;
+  message.gossip = this->TakeDueGossip(now, &this->next_gossip,
+                                       is_contact || this->HasLowestId());
   this->SendToNeighbours(message);
 }
 
