Log the identity of requests that are cut

Each repeat of a request has a new id, so the hosts' lines could not show that the same request was in progress at one worker after the other as these ended.

A digest of method, target, caller and body names the request in the line on a failed attempt, when its connection was cut. Nothing is decided by it yet. The digest is computed only then.

--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -84,6 +84,8 @@
   Duration longest_pause{0};     ///< between events, migrations included
   std::uint32_t migrations = 0;  ///< times the stream was resumed
   std::optional<StreamMigration> migration;
+  /// Set by RequestIdentity().
+  mutable std::string identity;
 
   bool Idempotent() const {
     return this->route->kind == RouteKind::kIdempotent;
@@ -91,4 +93,8 @@
   bool Streaming() const { return this->route->kind == RouteKind::kStreaming; }
 };
 
+/// @brief Returns what a request has in common with its repeats: a digest of
+/// method, target, caller and body, computed at the first call.
+const std::string& RequestIdentity(const ForwardedRequest& flow);
+
 }  // namespace limpetlink
--- a/src/gateway/forwarding_quarantine.cc
+++ b/src/gateway/forwarding_quarantine.cc
@@ -14,10 +14,28 @@
 // The first call may use a connection that the crash has cut as well.
 constexpr std::uint32_t kMaxCrashChecks = 3;
 
+constexpr const char* kIdentityPrefix = "request-";
+constexpr std::size_t kIdentityDigits = 16;
+
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
 
+const std::string& RequestIdentity(const ForwardedRequest& flow) {
+  if (flow.identity.empty()) {
+    const std::string caller =
+        flow.holder != nullptr
+            ? "organisation " + flow.holder->organisation.value
+            : "key " + flow.metadata.key.value_or("");
+    const std::string text = absl::StrJoin(
+        {flow.request.method, flow.request.target, caller, flow.request.body},
+        "\n");
+    flow.identity =
+        kIdentityPrefix + Sha256Hex(text).substr(0, kIdentityDigits);
+  }
+  return flow.identity;
+}
+
 std::optional<Problem> Forwarding::CheckQuarantine(
     Instant now, const ForwardedRequest& flow) const {
   const std::optional<std::string> part =
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -322,7 +322,9 @@
                {"answers", attempt.response.request_id},
                {"after_ms", MillisecondsText(now - attempt.sent)},
                {"budget_left", absl::StrCat(budget.Left(now))},
-               {"next", Text(ToText(step))}});
+               {"next", Text(ToText(step))},
+               {"identity",
+                end == AttemptEnd::kCut ? RequestIdentity(flow) : "none"}});
   }
   switch (step) {
     case NextStep::kDeliver:
