Name the quarantine's evidence after inputs and workers

A prompt part is one kind of input that ends a worker, and engines are one kind of worker. Renamed only: InputQuarantine, SuspectInput, SoundInput, WorkerCrash.

--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -68,7 +68,7 @@
  public:
   Forwarding(const GatewaySettings& settings, const GatewayCodec& codec,
              ForwardingHooks hooks, const WorkerDirectory* directory,
-             PartQuarantine* quarantine, HostMetrics* metrics);
+             InputQuarantine* quarantine, HostMetrics* metrics);
 
   /// @brief Sends a request to a worker, or refuses it, at once.
   void OnRequest(Instant now, CallerRequest request);
@@ -139,7 +139,7 @@
   /// @brief A request that was cut in the first output of its engine.
   struct SuspectRequest {
     std::string request_id;
-    std::vector<SuspectPart> parts;
+    std::vector<SuspectInput> parts;
     std::uint32_t checks = 0;  ///< made of the engine
   };
 
@@ -277,7 +277,7 @@
   const GatewayCodec& codec;
   ForwardingHooks hooks;
   const WorkerDirectory* directory;
-  PartQuarantine* quarantine;
+  InputQuarantine* quarantine;
   HostMetrics* metrics;
   LoadTable loads;
   HedgeDelays hedge_delays;
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -72,7 +72,7 @@
   std::string RenderLimits(Instant now) const;
   /// @brief Ends the suspicion against a part, on all hosts.
   /// @return false if the part is not suspect
-  bool ReleasePart(Instant now, const std::string& id);
+  bool ReleaseInput(Instant now, const std::string& id);
   void LogStoreMode();
   void OnStoreRestored(Instant now);
   /// @brief Logs changes of the quarantine, and withdraws requests.
@@ -96,7 +96,7 @@
   std::optional<KindWatch> evacuations;
   std::vector<KindWatch*> watches = {&this->deployments, &this->workers};
   std::set<FailureDomainId> evacuated;
-  PartQuarantine quarantine;
+  InputQuarantine quarantine;
   QuarantineRecords quarantine_records;
   Forwarding forwarding;
   Neighbours neighbours;
--- a/src/gateway/detail/quarantine_records.h
+++ b/src/gateway/detail/quarantine_records.h
@@ -31,7 +31,7 @@
   /// @param kind of the objects; empty disables the records
   /// @param store and `quarantine` must outlive this
   QuarantineRecords(std::string kind, MetadataStoreClient* store,
-                    PartQuarantine* quarantine, QuarantineRecordsHooks hooks)
+                    InputQuarantine* quarantine, QuarantineRecordsHooks hooks)
       : kind(std::move(kind)),
         store(store),
         quarantine(quarantine),
@@ -59,7 +59,7 @@
 
   std::string kind;
   MetadataStoreClient* store;
-  PartQuarantine* quarantine;
+  InputQuarantine* quarantine;
   QuarantineRecordsHooks hooks;
   Instant next_list{};  ///< kNever while listing and once listed
   std::map<std::uint64_t, std::string> operations;  ///< part; empty: the list
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -35,7 +35,7 @@
 Forwarding::Forwarding(const GatewaySettings& settings,
                        const GatewayCodec& codec, ForwardingHooks hooks,
                        const WorkerDirectory* directory,
-                       PartQuarantine* quarantine, HostMetrics* metrics)
+                       InputQuarantine* quarantine, HostMetrics* metrics)
     : settings(settings),
       codec(codec),
       hooks(std::move(hooks)),
--- a/src/gateway/forwarding_quarantine.cc
+++ b/src/gateway/forwarding_quarantine.cc
@@ -119,7 +119,7 @@
             *report->started_at != call.worker.started_at;
   }
   std::vector<std::string> parts;
-  for (const SuspectPart& part : call.suspect.parts) {
+  for (const SuspectInput& part : call.suspect.parts) {
     parts.push_back(part.id);
   }
   this->Log(LogLevel::kWarning,
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -338,7 +338,7 @@
 
 void GatewayHost::UpdateQuarantine(Instant now) {
   std::set<std::string> parts;
-  for (const QuarantinedPart& part : this->quarantine.Quarantined(now)) {
+  for (const QuarantinedInput& part : this->quarantine.Quarantined(now)) {
     parts.insert(part.id);
     if (this->logged_quarantine.count(part.id) > 0) {
       continue;
--- a/src/gateway/gateway_operators.cc
+++ b/src/gateway/gateway_operators.cc
@@ -25,7 +25,7 @@
     body = this->RenderQuarantine(now);
   } else if (request.path == "/v1/quarantine/release" &&
              request.method == "POST") {
-    const bool released = this->ReleasePart(now, request.body);
+    const bool released = this->ReleaseInput(now, request.body);
     status = released ? 200 : 404;
     body = released ? "released\n" : "no such part\n";
   } else if (request.path != "/healthz") {
@@ -71,7 +71,7 @@
 
 std::string GatewayHost::RenderQuarantine(Instant now) const {
   nlohmann::json rows = nlohmann::json::array();
-  for (const QuarantinedPart& part : this->quarantine.Quarantined(now)) {
+  for (const QuarantinedInput& part : this->quarantine.Quarantined(now)) {
     nlohmann::json engines = nlohmann::json::array();
     for (const UpstreamId& engine : part.engines) {
       engines.push_back(engine.value);
@@ -85,7 +85,7 @@
   return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-bool GatewayHost::ReleasePart(Instant now, const std::string& id) {
+bool GatewayHost::ReleaseInput(Instant now, const std::string& id) {
   if (!this->quarantine.RecordSound(now, id)) {
     return false;
   }
--- a/src/gateway/quarantine_records.cc
+++ b/src/gateway/quarantine_records.cc
@@ -28,7 +28,7 @@
     return;
   }
   std::set<std::string> quarantined;
-  for (const QuarantinedPart& part : this->quarantine->Quarantined(now)) {
+  for (const QuarantinedInput& part : this->quarantine->Quarantined(now)) {
     quarantined.insert(part.id);
     if (this->stored.count(part.id) > 0) {
       continue;
@@ -36,7 +36,7 @@
     this->stored[part.id] = Record::kWriting;
     const StoreOp op = this->store->Put(
         now, {this->kind, part.id},
-        ToJson(this->quarantine->ExportPart(now, part.id)).dump(),
+        ToJson(this->quarantine->ExportInput(now, part.id)).dump(),
         WriteCondition::IfAbsent());
     this->operations.emplace(op.value, part.id);
   }
--- a/src/neighbours/tests/neighbours_test.cc
+++ b/src/neighbours/tests/neighbours_test.cc
@@ -25,7 +25,7 @@
     Duration received_delay{0};
     int store_failures = 0;
     std::vector<std::string> leaving;
-    PartQuarantine quarantine;
+    InputQuarantine quarantine;
     bool is_down = false;
   };
 
@@ -178,12 +178,12 @@
 
 TEST_CASE("neighbours, as much gossip and load as a host tells, fits a message",
           "[neighbours]") {
-  PartQuarantine quarantine;
+  InputQuarantine quarantine;
   const Instant now{seconds(100'000)};
   const std::string long_id(30, 'f');
   for (int i = 0; i < 120; ++i) {
     // Every third crash is explained by one of ten quarantined parts.
-    EngineCrash crash{UpstreamId{"i-" + std::to_string(100'000'000 + i)},
+    WorkerCrash crash{UpstreamId{"i-" + std::to_string(100'000'000 + i)},
                       1'790'000'000'000 + i,
                       seconds(i),
                       {}};
--- a/src/quarantine/detail/evidence_json.h
+++ b/src/quarantine/detail/evidence_json.h
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "quarantine/detail/part_quarantine.h"
+#include "quarantine/detail/input_quarantine.h"
 
 namespace limpetlink {
 
--- a/src/quarantine/detail/part_quarantine.h
+++ b/src/quarantine/detail/input_quarantine.h
@@ -14,22 +14,22 @@
 namespace limpetlink {
 
 /// @brief A part of a prompt that was among the first output of an engine.
-struct SuspectPart {
+struct SuspectInput {
   std::string id;
   std::uint32_t depth = 0;  ///< position in the prompt
 };
 
 /// @brief The end of one incarnation of an engine, with the shared parts of the
 /// requests whose output had just begun there.
-struct EngineCrash {
+struct WorkerCrash {
   UpstreamId engine;
   std::int64_t started_at = 0;  ///< Unix milliseconds, from its registration
   Duration age{0};              ///< since the first host noticed
-  std::vector<SuspectPart> parts;
+  std::vector<SuspectInput> parts;
 };
 
 /// @brief A run with this part went on, or an operator released the part.
-struct SoundPart {
+struct SoundInput {
   std::string id;
   Duration age{0};
 };
@@ -37,8 +37,8 @@
 /// @brief What hosts tell each other. Evidence may arrive late, repeatedly and
 /// in any order; hosts with the same evidence quarantine the same parts.
 struct CrashEvidence {
-  std::vector<EngineCrash> crashes;
-  std::vector<SoundPart> sound;
+  std::vector<WorkerCrash> crashes;
+  std::vector<SoundInput> sound;
 
   bool Empty() const { return this->crashes.empty() && this->sound.empty(); }
 };
@@ -65,7 +65,7 @@
 };
 
 /// @brief A quarantined part.
-struct QuarantinedPart {
+struct QuarantinedInput {
   std::string id;
   std::size_t crashes = 0;  ///< that count, simultaneous ones once
   Duration last_crash_age{0};
@@ -85,14 +85,14 @@
 /// quarantine.RecordCrash(now, {engine, started_at, {}, {{"5c1e07a2", 0}}});
 /// if (quarantine.Find(now, parts).has_value()) { /* refuse the request */ }
 /// @endcode
-class PartQuarantine {
+class InputQuarantine {
  public:
-  explicit PartQuarantine(QuarantineSettings settings = {})
+  explicit InputQuarantine(QuarantineSettings settings = {})
       : settings(settings) {}
 
   /// @brief Records a crash that this host noticed.
   /// @return whether it is new evidence
-  bool RecordCrash(Instant now, const EngineCrash& crash);
+  bool RecordCrash(Instant now, const WorkerCrash& crash);
 
   /// @brief Records that a run with the part went on, or that an operator
   /// released it.
@@ -109,7 +109,7 @@
 
   /// @brief Returns the crashes that a quarantined part explains, as far as
   /// other hosts need them to quarantine it.
-  CrashEvidence ExportPart(Instant now, const std::string& id) const;
+  CrashEvidence ExportInput(Instant now, const std::string& id) const;
 
   /// @return the first quarantined part in the list, or nothing
   std::optional<std::string> Find(Instant now,
@@ -119,7 +119,7 @@
   bool HasSuspects() const { return !this->crashes.empty(); }
 
   /// @return the quarantined parts, in order of their ids
-  std::vector<QuarantinedPart> Quarantined(Instant now) const;
+  std::vector<QuarantinedInput> Quarantined(Instant now) const;
 
  private:
   using Incarnation = std::pair<UpstreamId, std::int64_t>;
@@ -134,7 +134,7 @@
     std::vector<Incarnation> engines;
   };
 
-  bool AddCrash(Instant now, const EngineCrash& crash, bool noticed_here);
+  bool AddCrash(Instant now, const WorkerCrash& crash, bool noticed_here);
   bool AddSound(Instant now, const std::string& id, Instant at);
   void Expire(Instant now);
   /// @brief Evicts the oldest crash that no quarantined part explains.
@@ -142,7 +142,7 @@
   void UpdateVerdicts();
   /// @return the quarantined part among those of the crash, or nullptr
   const std::string* Explanation(const Crash& crash) const;
-  EngineCrash MakeExport(Instant now, const Incarnation& incarnation,
+  WorkerCrash MakeExport(Instant now, const Incarnation& incarnation,
                          const Crash& crash) const;
 
   QuarantineSettings settings;
--- a/src/quarantine/evidence_json.cc
+++ b/src/quarantine/evidence_json.cc
@@ -32,7 +32,7 @@
   return value.is_array() && value.size() == columns;
 }
 
-bool ReadCrash(const Json& row, EngineCrash* crash) {
+bool ReadCrash(const Json& row, WorkerCrash* crash) {
   const bool valid = IsRow(row, 4) && IsText(row[0], kMaxEngineBytes) &&
                      row[1].is_number_integer() &&
                      IsNumber(row[2], kMaxAgeMs) && IsList(row[3]);
@@ -53,7 +53,7 @@
   return true;
 }
 
-bool ReadSound(const Json& row, SoundPart* part) {
+bool ReadSound(const Json& row, SoundInput* part) {
   if (!IsRow(row, 2) || !IsText(row[0], kMaxIdBytes) ||
       !IsNumber(row[1], kMaxAgeMs)) {
     return false;
@@ -83,16 +83,16 @@
 
 nlohmann::json ToJson(const CrashEvidence& evidence) {
   Json crashes = Json::array();
-  for (const EngineCrash& crash : evidence.crashes) {
+  for (const WorkerCrash& crash : evidence.crashes) {
     Json parts = Json::array();
-    for (const SuspectPart& part : crash.parts) {
+    for (const SuspectInput& part : crash.parts) {
       parts.push_back({part.id, part.depth});
     }
     crashes.push_back({crash.engine.value, crash.started_at,
                        InMilliseconds(crash.age), std::move(parts)});
   }
   Json sound = Json::array();
-  for (const SoundPart& part : evidence.sound) {
+  for (const SoundInput& part : evidence.sound) {
     sound.push_back({part.id, InMilliseconds(part.age)});
   }
   return {{"crashes", std::move(crashes)}, {"sound", std::move(sound)}};
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/input_quarantine.cc
@@ -11,14 +11,14 @@
 
 }  // namespace
 
-bool PartQuarantine::RecordCrash(Instant now, const EngineCrash& crash) {
+bool InputQuarantine::RecordCrash(Instant now, const WorkerCrash& crash) {
   this->Expire(now);
   const bool is_new = this->AddCrash(now, crash, true);
   this->UpdateVerdicts();
   return is_new;
 }
 
-bool PartQuarantine::RecordSound(Instant now, const std::string& id) {
+bool InputQuarantine::RecordSound(Instant now, const std::string& id) {
   const bool suspect = std::any_of(
       this->crashes.begin(), this->crashes.end(),
       [&id](const auto& entry) { return entry.second.parts.count(id) > 0; });
@@ -31,24 +31,24 @@
   return true;
 }
 
-bool PartQuarantine::Merge(Instant now, const CrashEvidence& evidence) {
+bool InputQuarantine::Merge(Instant now, const CrashEvidence& evidence) {
   if (evidence.Empty()) {
     return false;
   }
   this->Expire(now);
   bool is_new = false;
-  for (const SoundPart& part : evidence.sound) {
+  for (const SoundInput& part : evidence.sound) {
     is_new = this->AddSound(now, part.id, now - part.age) || is_new;
   }
-  for (const EngineCrash& crash : evidence.crashes) {
+  for (const WorkerCrash& crash : evidence.crashes) {
     is_new = this->AddCrash(now, crash, false) || is_new;
   }
   this->UpdateVerdicts();
   return is_new;
 }
 
-bool PartQuarantine::AddCrash(Instant now, const EngineCrash& crash,
-                              bool noticed_here) {
+bool InputQuarantine::AddCrash(Instant now, const WorkerCrash& crash,
+                               bool noticed_here) {
   if (crash.age >= this->settings.retention) {
     return false;
   }
@@ -59,7 +59,7 @@
   merged.at = std::min(merged.at, now - crash.age);
   merged.noticed_here = merged.noticed_here || noticed_here;
   bool is_new = false;
-  for (const SuspectPart& part : crash.parts) {
+  for (const SuspectInput& part : crash.parts) {
     const auto cleared = this->sound.find(part.id);
     const bool counts =
         (cleared == this->sound.end() || cleared->second < merged.at) &&
@@ -80,7 +80,7 @@
   return is_new;
 }
 
-bool PartQuarantine::AddSound(Instant now, const std::string& id, Instant at) {
+bool InputQuarantine::AddSound(Instant now, const std::string& id, Instant at) {
   if (now - at >= this->settings.retention) {
     return false;
   }
@@ -102,7 +102,7 @@
   return is_newer;
 }
 
-void PartQuarantine::Expire(Instant now) {
+void InputQuarantine::Expire(Instant now) {
   const Instant oldest = now - this->settings.retention;
   for (auto it = this->crashes.begin(); it != this->crashes.end();) {
     it = it->second.at < oldest ? this->crashes.erase(it) : std::next(it);
@@ -112,7 +112,7 @@
   }
 }
 
-void PartQuarantine::EvictCrash() {
+void InputQuarantine::EvictCrash() {
   auto victim = this->crashes.end();
   for (auto it = this->crashes.begin(); it != this->crashes.end(); ++it) {
     const auto rank = [this](const Crash& crash) {
@@ -126,7 +126,7 @@
   this->crashes.erase(victim);
 }
 
-void PartQuarantine::UpdateVerdicts() {
+void InputQuarantine::UpdateVerdicts() {
   this->verdicts.clear();
   std::vector<std::pair<Incarnation, const Crash*>> unexplained;
   for (const auto& [incarnation, crash] : this->crashes) {
@@ -176,7 +176,7 @@
   }
 }
 
-const std::string* PartQuarantine::Explanation(const Crash& crash) const {
+const std::string* InputQuarantine::Explanation(const Crash& crash) const {
   for (const auto& [id, depth] : crash.parts) {
     const auto verdict = this->verdicts.find(id);
     if (verdict != this->verdicts.end()) {
@@ -186,7 +186,7 @@
   return nullptr;
 }
 
-std::optional<std::string> PartQuarantine::Find(
+std::optional<std::string> InputQuarantine::Find(
     Instant now, const std::vector<std::string>& parts) const {
   if (this->verdicts.empty()) {
     return std::nullopt;
@@ -201,10 +201,10 @@
   return std::nullopt;
 }
 
-EngineCrash PartQuarantine::MakeExport(Instant now,
-                                       const Incarnation& incarnation,
-                                       const Crash& crash) const {
-  EngineCrash exported{
+WorkerCrash InputQuarantine::MakeExport(Instant now,
+                                        const Incarnation& incarnation,
+                                        const Crash& crash) const {
+  WorkerCrash exported{
       incarnation.first, incarnation.second, now - crash.at, {}};
   if (const std::string* explanation = this->Explanation(crash)) {
     exported.parts = {{*explanation, crash.parts.at(*explanation)}};
@@ -214,7 +214,7 @@
     exported.parts.push_back({id, depth});
   }
   std::sort(exported.parts.begin(), exported.parts.end(),
-            [](const SuspectPart& a, const SuspectPart& b) {
+            [](const SuspectInput& a, const SuspectInput& b) {
               return std::tie(b.depth, a.id) < std::tie(a.depth, b.id);
             });
   exported.parts.resize(
@@ -222,7 +222,7 @@
   return exported;
 }
 
-CrashEvidence PartQuarantine::Export(Instant now, bool include_received) {
+CrashEvidence InputQuarantine::Export(Instant now, bool include_received) {
   CrashEvidence evidence;
   if (this->crashes.empty() && this->sound.empty()) {
     return evidence;
@@ -236,7 +236,7 @@
   }
   std::sort(
       evidence.sound.begin(), evidence.sound.end(),
-      [](const SoundPart& a, const SoundPart& b) { return a.age < b.age; });
+      [](const SoundInput& a, const SoundInput& b) { return a.age < b.age; });
   evidence.sound.resize(
       std::min(evidence.sound.size(), this->settings.max_exported_sound));
   // The latest crashes of each quarantined part suffice to quarantine it
@@ -277,8 +277,8 @@
   return evidence;
 }
 
-CrashEvidence PartQuarantine::ExportPart(Instant now,
-                                         const std::string& id) const {
+CrashEvidence InputQuarantine::ExportInput(Instant now,
+                                           const std::string& id) const {
   CrashEvidence evidence;
   const auto verdict = this->verdicts.find(id);
   if (verdict == this->verdicts.end()) {
@@ -298,14 +298,14 @@
   return evidence;
 }
 
-std::vector<QuarantinedPart> PartQuarantine::Quarantined(Instant now) const {
-  std::vector<QuarantinedPart> parts;
+std::vector<QuarantinedInput> InputQuarantine::Quarantined(Instant now) const {
+  std::vector<QuarantinedInput> parts;
   for (const auto& [id, verdict] : this->verdicts) {
     const Duration age = now - verdict.last_crash;
     if (age >= this->settings.hold) {
       continue;
     }
-    QuarantinedPart part{id, verdict.crashes, age, {}};
+    QuarantinedInput part{id, verdict.crashes, age, {}};
     for (const Incarnation& incarnation : verdict.engines) {
       part.engines.push_back(incarnation.first);
     }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -2,4 +2,4 @@
 /// @brief Quarantine of prompt parts that end engines.
 #pragma once
 
-#include "quarantine/detail/part_quarantine.h"
+#include "quarantine/detail/input_quarantine.h"
--- a/src/quarantine/tests/part_quarantine_test.cc
+++ b/src/quarantine/tests/input_quarantine_test.cc
@@ -16,7 +16,7 @@
   /// @brief An engine ends in the first output of a request with the parts.
   bool Crash(const std::vector<std::string>& parts,
              const std::string& engine = "") {
-    EngineCrash crash;
+    WorkerCrash crash;
     crash.engine.value = engine.empty()
                              ? "engine-" + std::to_string(++this->last_engine)
                              : engine;
@@ -31,7 +31,7 @@
     return this->quarantine.Find(this->now, {part}).has_value();
   }
 
-  PartQuarantine quarantine;
+  InputQuarantine quarantine;
   int last_engine = 0;
   Instant now{seconds(10'000)};
 };
@@ -50,7 +50,7 @@
   for (const char* sound : {"a", "b", "x", "y"}) {
     CHECK_FALSE(this->Refuses(sound));
   }
-  const std::vector<QuarantinedPart> parts =
+  const std::vector<QuarantinedInput> parts =
       this->quarantine.Quarantined(this->now);
   REQUIRE(parts.size() == 1);
   CHECK(parts[0].crashes == 3);
@@ -144,7 +144,7 @@
                  "part quarantine, evidence exchanged late, twice and in any "
                  "order, leads to the same parts",
                  "[quarantine]") {
-  PartQuarantine other;
+  InputQuarantine other;
   this->Crash({"a", "bad"});
   const CrashEvidence first = this->quarantine.Export(this->now, true);
   this->now += seconds(2);
@@ -171,7 +171,7 @@
     this->Crash({"bad"});
     this->now += seconds(2);
   }
-  PartQuarantine other;
+  InputQuarantine other;
   const CrashEvidence before = this->quarantine.Export(this->now, true);
   other.Merge(this->now, before);
   REQUIRE(other.Find(this->now, {"bad"}).has_value());
@@ -206,7 +206,7 @@
   const CrashEvidence evidence = this->quarantine.Export(this->now, true);
   CHECK(evidence.crashes.size() <= 44);
   CHECK(evidence.sound.size() <= 32);
-  PartQuarantine other;
+  InputQuarantine other;
   other.Merge(this->now, evidence);
   CHECK(other.Find(this->now, {"bad"}).has_value());
 }
