--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -32,7 +32,7 @@
     {ErrorCode::kRequestNotAllowed, "request.111", 403,
      "The organisation may not use this"},
     {ErrorCode::kRequestQuarantined, "request.112", 503,
-     "Engines end when they answer a part of the prompt"},
+     "Workers ended when they ran this request or a part of its prompt"},
     {ErrorCode::kAdmissionQueueFull, "admission.101", 503, "The queue is full"},
     {ErrorCode::kAdmissionExpectedWaitTooLong, "admission.102", 503,
      "The expected wait is longer than the deadline"},
--- a/src/entry/detail/host_metrics.h
+++ b/src/entry/detail/host_metrics.h
@@ -27,7 +27,7 @@
   kMalformedInput,
   kPeerFramesRefused,
   kDocumentsApplied,
-  kEngineCrashes,
+  kWorkerCrashes,
   kQuarantineRefusals,
   kCount,
 };
--- a/src/entry/host_metrics.cc
+++ b/src/entry/host_metrics.cc
@@ -40,10 +40,9 @@
          "Frames of peers that could not be read."},
         {"limpet_documents_adopted_total",
          "Fleet documents that came into force."},
-        {"limpet_engine_crashes_total",
-         "Engines that ended in the first output of a request."},
+        {"limpet_worker_crashes_total", "Workers that ended during a request."},
         {"limpet_quarantine_refusals_total",
-         "Requests refused for a quarantined part of the prompt."},
+         "Requests refused for a quarantined input."},
     }};
 
 constexpr std::array<MetricText, static_cast<std::size_t>(Timing::kCount)>
--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -119,7 +119,7 @@
   std::string worker_kind;  ///< object kind of worker registrations
   /// Object kind of evacuations, named by failure domain.
   std::string evacuation_kind{};
-  std::string quarantine_kind{};  ///< object kind of quarantined prompt parts;
+  std::string quarantine_kind{};  ///< object kind of quarantined inputs;
                                   ///< empty: they aren't stored
   std::string ready_path;         ///< readiness check of the load balancer
   std::function<absl::StatusOr<Deployment>(const ObjectRecord&)> deployment;
--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/detail/codec.h"
@@ -19,7 +20,8 @@
   CallId call;
   UpstreamId worker;
   Instant sent{};
-  int status = 0;  ///< 0 until the response head has arrived
+  std::uint32_t prior_crashes = 0;  ///< under this request, known when sent
+  int status = 0;                   ///< 0 until the response head has arrived
   Headers headers;
   WorkerResponse response;
   std::string body;
@@ -84,6 +86,8 @@
   Duration longest_pause{0};     ///< between events, migrations included
   std::uint32_t migrations = 0;  ///< times the stream was resumed
   std::optional<StreamMigration> migration;
+  /// Incarnations of workers that cut an attempt.
+  std::vector<std::pair<UpstreamId, std::int64_t>> cut_by;
   /// Set by RequestIdentity().
   mutable std::string identity;
 
@@ -97,4 +101,9 @@
 /// method, target, caller and body, computed at the first call.
 const std::string& RequestIdentity(const ForwardedRequest& flow);
 
+/// @return whether a status says to callers that the request did not run
+inline bool PromisesNotRun(int status) {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
 }  // namespace limpetlink
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -88,8 +88,8 @@
   void OnLeaving(Instant now, const WorkerRegistration& worker,
                  Instant noticed_at);
 
-  /// @brief Gives up the requests with a quarantined part that wait at engines;
-  /// called when the quarantine has changed.
+  /// @brief Gives up the requests with a quarantined input that wait at
+  /// workers; called when the quarantine has changed.
   void OnQuarantineChanged(Instant now);
 
   /// @brief Drops the load of a worker that terminated or restarted.
@@ -136,11 +136,13 @@
     kCrashCheck,     ///< whether the worker has ended
   };
 
-  /// @brief A request that was cut in the first output of its engine.
+  /// @brief A request that its worker cut.
   struct SuspectRequest {
     std::string request_id;
-    std::vector<SuspectInput> parts;
-    std::uint32_t checks = 0;  ///< made of the engine
+    std::vector<SuspectInput> inputs;
+    /// Incarnations of workers that cut the request before.
+    std::vector<std::pair<UpstreamId, std::int64_t>> cut_before;
+    std::uint32_t checks = 0;  ///< made of the worker
   };
 
   /// @brief A call for an engine's report.
@@ -216,12 +218,12 @@
   /// @return why the request may not be sent to an engine, if so
   std::optional<Problem> CheckQuarantine(Instant now,
                                          const ForwardedRequest& flow) const;
-  /// @brief Asks a worker whether it has ended, if it cut the request in its
-  /// first output.
-  void CheckForCrash(Instant now, const ForwardedRequest& flow,
+  /// @brief Asks a worker that cut the request whether it has ended.
+  void CheckForCrash(Instant now, ForwardedRequest* flow,
                      const Attempt& attempt, AttemptEnd end);
+  void SendCrashCheck(Instant now, ReportCall check);
   void HandleCrashCheck(Instant now, ReportCall call, HttpEnd end);
-  /// @brief Records that the request's run went on, if it did.
+  /// @brief Records that the request's run continued, if it did.
   void NoteSoundRun(Instant now, const ForwardedRequest& flow,
                     const Attempt& attempt, bool completed);
 
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -70,8 +70,8 @@
   std::string RenderRequests(Instant now) const;
   std::string RenderQuarantine(Instant now) const;
   std::string RenderLimits(Instant now) const;
-  /// @brief Ends the suspicion against a part, on all hosts.
-  /// @return false if the part is not suspect
+  /// @brief Ends the suspicion against an input, on all hosts.
+  /// @return false if the input is not suspect
   bool ReleaseInput(Instant now, const std::string& id);
   void LogStoreMode();
   void OnStoreRestored(Instant now);
--- a/src/gateway/detail/quarantine_records.h
+++ b/src/gateway/detail/quarantine_records.h
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Keeps the quarantined prompt parts in the metadata store.
+/// @brief Keeps the quarantined inputs in the metadata store.
 #pragma once
 
 #include <cstdint>
@@ -16,12 +16,12 @@
 /// @brief Callbacks of QuarantineRecords.
 struct QuarantineRecordsHooks {
   std::function<void(Instant)> evidence_changed;
-  /// Reports the part, and what went wrong with its record.
-  std::function<void(const std::string& part, const std::string& reason)>
+  /// Reports the input, and what went wrong with its record.
+  std::function<void(const std::string& input, const std::string& reason)>
       record_failed;
 };
 
-/// @brief One object per quarantined part, so that hosts which all start at
+/// @brief One object per quarantined input, so that hosts which all start at
 /// once know it. Running hosts tell each other and don't read the records.
 ///
 /// A record has no time of day: the hold time begins anew for a host that reads
@@ -40,7 +40,7 @@
   /// @brief Lists the records until that has succeeded once.
   void Tick(Instant now);
 
-  /// @brief Writes records of newly quarantined parts and deletes those of
+  /// @brief Writes records of newly quarantined inputs and deletes those of
   /// others.
   void Update(Instant now);
 
@@ -62,8 +62,8 @@
   InputQuarantine* quarantine;
   QuarantineRecordsHooks hooks;
   Instant next_list{};  ///< kNever while listing and once listed
-  std::map<std::uint64_t, std::string> operations;  ///< part; empty: the list
-  std::map<std::string, Record> stored;             ///< by part
+  std::map<std::uint64_t, std::string> operations;  ///< input; empty: the list
+  std::map<std::string, Record> stored;             ///< by input
 };
 
 }  // namespace limpetlink
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -363,6 +363,10 @@
   attempt.call = this->hooks.next_call_id();
   attempt.worker = choice->worker;
   attempt.sent = now;
+  if (this->quarantine->HasSuspects()) {
+    attempt.prior_crashes =
+        this->quarantine->CountCrashes(RequestIdentity(*flow));
+  }
   HttpCall call =
       this->MakeWorkerCall(now, *flow, attempt, worker->address, std::nullopt);
   ++flow->attempts;
--- a/src/gateway/forwarding_quarantine.cc
+++ b/src/gateway/forwarding_quarantine.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // An engine that ends within this time of a response head, or before the first
-// event, may have ended because of that request.
+// event, may have ended because of that prompt.
 constexpr Duration kFirstOutput = std::chrono::milliseconds(500);
 constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(1000);
 // The first call may use a connection that the crash has cut as well.
@@ -27,48 +27,66 @@
         flow.holder != nullptr
             ? "organisation " + flow.holder->organisation.value
             : "key " + flow.metadata.key.value_or("");
-    const std::string text = absl::StrJoin(
-        {flow.request.method, flow.request.target, caller, flow.request.body},
-        "\n");
+    // The body alone need not tell prompts apart.
+    const std::string prompt = absl::StrJoin(flow.metadata.shared_parts, ",");
+    const CallerRequest& request = flow.request;
     flow.identity =
-        kIdentityPrefix + Sha256Hex(text).substr(0, kIdentityDigits);
+        absl::StrCat(kIdentityPrefix,
+                     Sha256Hex(absl::StrJoin({request.method, request.target,
+                                              caller, prompt, request.body},
+                                             "\n"))
+                         .substr(0, kIdentityDigits));
   }
   return flow.identity;
 }
 
 std::optional<Problem> Forwarding::CheckQuarantine(
     Instant now, const ForwardedRequest& flow) const {
-  const std::optional<std::string> part =
-      this->quarantine->Find(now, flow.metadata.shared_parts);
-  if (!part.has_value()) {
+  if (!this->quarantine->HasSuspects()) {
     return std::nullopt;
   }
   // Without Retry-After: the same request would be refused again.
-  return Problem{
-      ErrorCode::kRequestQuarantined, Outcome::kNotRun,
-      absl::StrCat("engines ended while they answered prompt part ", *part),
-      std::nullopt};
+  Problem problem{ErrorCode::kRequestQuarantined, Outcome::kNotRun, "",
+                  std::nullopt};
+  if (const std::optional<std::string> part =
+          this->quarantine->Find(now, flow.metadata.shared_parts)) {
+    problem.detail =
+        absl::StrCat("engines ended while they answered prompt part ", *part);
+    return problem;
+  }
+  if (const std::optional<std::string> request =
+          this->quarantine->Find(now, {RequestIdentity(flow)})) {
+    problem.detail = absl::StrCat(
+        "workers ended while they ran this request before, as ", *request);
+    return problem;
+  }
+  return std::nullopt;
 }
 
 void Forwarding::NoteSoundRun(Instant now, const ForwardedRequest& flow,
                               const Attempt& attempt, bool completed) {
-  if (!this->quarantine->HasSuspects() || !flow.on_engine ||
-      !attempt.head_at.has_value() || !IsSuccess(attempt.status)) {
+  if (!this->quarantine->HasSuspects() || !attempt.head_at.has_value() ||
+      PromisesNotRun(attempt.status)) {
     return;
   }
-  const bool went_on = completed || (attempt.has_events &&
-                                     now - *attempt.head_at >= kFirstOutput);
-  if (!went_on) {
+  const bool continued = completed || (flow.on_engine && attempt.has_events &&
+                                       now - *attempt.head_at >= kFirstOutput);
+  if (!continued) {
     return;
   }
+  std::vector<std::string> inputs = {RequestIdentity(flow)};
+  if (flow.on_engine && IsSuccess(attempt.status)) {
+    inputs.insert(inputs.end(), flow.metadata.shared_parts.begin(),
+                  flow.metadata.shared_parts.end());
+  }
   bool changed = false;
-  for (const std::string& part : flow.metadata.shared_parts) {
-    if (this->quarantine->RecordSound(now, part)) {
+  for (const std::string& input : inputs) {
+    if (this->quarantine->RecordSound(now, input)) {
       changed = true;
-      this->Log(LogLevel::kInfo, "prompt part sound",
+      this->Log(LogLevel::kInfo, "input sound",
                 {{"request", flow.metadata.request_id},
                  {"worker", attempt.worker.value},
-                 {"part", part}});
+                 {"input", input}});
     }
   }
   if (changed) {
@@ -76,40 +94,48 @@
   }
 }
 
-void Forwarding::CheckForCrash(Instant now, const ForwardedRequest& flow,
+void Forwarding::CheckForCrash(Instant now, ForwardedRequest* flow,
                                const Attempt& attempt, AttemptEnd end) {
-  const bool suspect =
-      end == AttemptEnd::kCut && flow.on_engine && !attempt.resumed &&
-      attempt.head_at.has_value() && IsSuccess(attempt.status) &&
-      (!attempt.has_events || now - *attempt.head_at < kFirstOutput);
-  if (!suspect || flow.metadata.shared_parts.empty()) {
+  if (end != AttemptEnd::kCut || attempt.resumed) {
     return;
   }
+  const bool in_first_output =
+      flow->on_engine && attempt.head_at.has_value() &&
+      IsSuccess(attempt.status) &&
+      (!attempt.has_events || now - *attempt.head_at < kFirstOutput);
+  const bool in_progress = !flow->on_engine || attempt.status == 0;
   const WorkerRegistration* worker = this->directory->Find(attempt.worker);
-  if (worker == nullptr || worker->leaving) {
-    return;  // its end was announced
+  const bool announced = worker == nullptr || worker->leaving;
+  if (announced || !(in_first_output || in_progress)) {
+    return;
   }
-  SuspectRequest request{flow.metadata.request_id, {}, 0};
-  for (const std::string& part : flow.metadata.shared_parts) {
-    request.parts.push_back(
-        {part, static_cast<std::uint32_t>(request.parts.size())});
+  SuspectRequest request{flow->metadata.request_id, {}, flow->cut_by, 0};
+  if (in_first_output) {
+    for (const std::string& part : flow->metadata.shared_parts) {
+      request.inputs.push_back(
+          {part, static_cast<std::uint32_t>(request.inputs.size()), 0});
+    }
   }
-  HttpCall call = this->MakeReportCall(*worker);
+  request.inputs.push_back(
+      {RequestIdentity(*flow), kRequestDepth, attempt.prior_crashes});
+  flow->cut_by.emplace_back(worker->id, worker->started_at);
+  this->SendCrashCheck(
+      now,
+      {*worker, ReportPurpose::kCrashCheck, now, std::move(request), 0, {}});
+}
+
+void Forwarding::SendCrashCheck(Instant now, ReportCall check) {
+  HttpCall call = this->MakeReportCall(check.worker);
   call.total_timeout = kCrashCheckTimeout;
-  this->reports[call.id.value] = {
-      *worker, ReportPurpose::kCrashCheck, now, std::move(request), 0, {}};
-  this->allowances.RecordSend(now, worker->id);
+  this->allowances.RecordSend(now, check.worker.id);
+  this->reports[call.id.value] = std::move(check);
   this->actions.emplace_back(std::move(call));
 }
 
 void Forwarding::HandleCrashCheck(Instant now, ReportCall call, HttpEnd end) {
   if (end == HttpEnd::kCut && call.status == 0 &&
       ++call.suspect.checks < kMaxCrashChecks) {
-    HttpCall again = this->MakeReportCall(call.worker);
-    again.total_timeout = kCrashCheckTimeout;
-    this->allowances.RecordSend(now, call.worker.id);
-    this->reports[again.id.value] = std::move(call);
-    this->actions.emplace_back(std::move(again));
+    this->SendCrashCheck(now, std::move(call));
     return;
   }
   bool ended = end == HttpEnd::kNotConnected;
@@ -118,26 +144,36 @@
     ended = report.ok() && report->started_at.has_value() &&
             *report->started_at != call.worker.started_at;
   }
-  std::vector<std::string> parts;
-  for (const SuspectInput& part : call.suspect.parts) {
-    parts.push_back(part.id);
+  std::vector<std::string> ids;
+  for (SuspectInput& input : call.suspect.inputs) {
+    ids.push_back(input.id);
+    if (input.depth != kRequestDepth) {
+      continue;
+    }
+    const auto crashes_before = std::count_if(
+        call.suspect.cut_before.begin(), call.suspect.cut_before.end(),
+        [&](const auto& each) {
+          return this->quarantine->HasCrash(each.first, each.second, input.id);
+        });
+    input.prior =
+        std::max(input.prior, static_cast<std::uint32_t>(crashes_before));
   }
   this->Log(LogLevel::kWarning,
-            ended ? "engine ended in the first output of a request"
-                  : "stream cut by a live engine",
+            ended ? "worker ended during a request"
+                  : "connection cut by a live worker",
             {{"worker", call.worker.id.value},
              {"request", call.suspect.request_id},
-             {"shared_parts", absl::StrJoin(parts, ",")},
+             {"inputs", absl::StrJoin(ids, ",")},
              {"check", std::string(ToText(end))},
              {"check_status", std::to_string(call.status)},
              {"noticed_ms_ago", MillisecondsText(now - call.noticed_at)}});
   if (!ended) {
     return;
   }
-  this->metrics->Add(Counter::kEngineCrashes);
+  this->metrics->Add(Counter::kWorkerCrashes);
   const bool is_new = this->quarantine->RecordCrash(
       now, {call.worker.id, call.worker.started_at, now - call.noticed_at,
-            std::move(call.suspect.parts)});
+            std::move(call.suspect.inputs)});
   if (is_new) {
     this->hooks.evidence_changed(now);
   }
@@ -157,8 +193,8 @@
   for (const std::uint64_t id : affected) {
     this->Refuse(now, id,
                  {ErrorCode::kUpstreamCut, Outcome::kUnknown,
-                  "withdrawn from its engine: a part of the prompt is "
-                  "quarantined",
+                  "withdrawn from its worker: the request or a part of its "
+                  "prompt is quarantined",
                   std::nullopt});
   }
 }
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -244,10 +244,7 @@
   }
   // Callers take these statuses as a guarantee that the request didn't run;
   // only the worker can give it.
-  const bool unverified_refusal =
-      attempt.status == 503 || attempt.status == 429 || attempt.status == 408 ||
-      attempt.status == 421;
-  if (unverified_refusal && !flow.Idempotent()) {
+  if (PromisesNotRun(attempt.status) && !flow.Idempotent()) {
     return AttemptEnd::kMalformed;
   }
   return attempt.status >= 500 ? AttemptEnd::kWorkerFailure
@@ -283,8 +280,10 @@
     this->hedge_delays.Observe(flow.service, flow.route->name,
                                now - attempt.sent);
   }
-  this->NoteSoundRun(now, flow, attempt, end == AttemptEnd::kAnswered);
-  this->CheckForCrash(now, flow, attempt, end);
+  this->NoteSoundRun(
+      now, flow, attempt,
+      end == AttemptEnd::kAnswered || end == AttemptEnd::kWorkerFailure);
+  this->CheckForCrash(now, &flow, attempt, end);
   if (!this->DeferToMigration(now, &flow, attempt, end)) {
     this->ProceedAfterAttempt(now, id, attempt, end);
   }
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -106,9 +106,9 @@
              this->neighbours.OnGossipChanged(now);
              this->quarantine_changed = true;
            },
-           [this](const std::string& part, const std::string& reason) {
+           [this](const std::string& input, const std::string& reason) {
              this->Log(LogLevel::kWarning, "quarantine record failed",
-                       {{"part", part}, {"reason", reason}});
+                       {{"input", input}, {"reason", reason}});
            }}),
       forwarding(
           this->settings, this->codec,
@@ -284,7 +284,7 @@
     this->forwarding.Allowances().SetMembers(now, *std::move(members));
   }
   this->quarantine_records.Tick(now);
-  // Parts are also released by time, and failed writes are repeated.
+  // Inputs are also released by time, and failed writes are repeated.
   this->quarantine_changed =
       this->quarantine_changed || this->next_quarantine_update <= now;
   this->UpdateReadSchedule(now);
@@ -337,29 +337,29 @@
 }
 
 void GatewayHost::UpdateQuarantine(Instant now) {
-  std::set<std::string> parts;
-  for (const QuarantinedInput& part : this->quarantine.Quarantined(now)) {
-    parts.insert(part.id);
-    if (this->logged_quarantine.count(part.id) > 0) {
+  std::set<std::string> inputs;
+  for (const QuarantinedInput& input : this->quarantine.Quarantined(now)) {
+    inputs.insert(input.id);
+    if (this->logged_quarantine.count(input.id) > 0) {
       continue;
     }
-    std::vector<std::string> engines;
-    for (const UpstreamId& engine : part.engines) {
-      engines.push_back(engine.value);
+    std::vector<std::string> workers;
+    for (const UpstreamId& worker : input.workers) {
+      workers.push_back(worker.value);
     }
-    this->Log(LogLevel::kWarning, "prompt part quarantined",
-              {{"part", part.id},
-               {"crashes", std::to_string(part.crashes)},
-               {"engines", absl::StrJoin(engines, ",")},
-               {"last_crash_ms_ago", MillisecondsText(part.last_crash_age)}});
-  }
-  for (const std::string& part : this->logged_quarantine) {
-    if (parts.count(part) == 0) {
-      this->Log(LogLevel::kWarning, "prompt part released", {{"part", part}});
+    this->Log(LogLevel::kWarning, "input quarantined",
+              {{"input", input.id},
+               {"crashes", std::to_string(input.crashes)},
+               {"workers", absl::StrJoin(workers, ",")},
+               {"last_crash_ms_ago", MillisecondsText(input.last_crash_age)}});
+  }
+  for (const std::string& input : this->logged_quarantine) {
+    if (inputs.count(input) == 0) {
+      this->Log(LogLevel::kWarning, "input released", {{"input", input}});
     }
   }
-  if (parts != this->logged_quarantine) {
-    this->logged_quarantine = std::move(parts);
+  if (inputs != this->logged_quarantine) {
+    this->logged_quarantine = std::move(inputs);
     this->forwarding.OnQuarantineChanged(now);
   }
   if (this->neighbours.Rank().value_or(0) == 0) {
--- a/src/gateway/gateway_operators.cc
+++ b/src/gateway/gateway_operators.cc
@@ -27,7 +27,7 @@
              request.method == "POST") {
     const bool released = this->ReleaseInput(now, request.body);
     status = released ? 200 : 404;
-    body = released ? "released\n" : "no such part\n";
+    body = released ? "released\n" : "no such input\n";
   } else if (request.path != "/healthz") {
     status = 404;
     body = "no such page\n";
@@ -71,17 +71,17 @@
 
 std::string GatewayHost::RenderQuarantine(Instant now) const {
   nlohmann::json rows = nlohmann::json::array();
-  for (const QuarantinedInput& part : this->quarantine.Quarantined(now)) {
-    nlohmann::json engines = nlohmann::json::array();
-    for (const UpstreamId& engine : part.engines) {
-      engines.push_back(engine.value);
+  for (const QuarantinedInput& input : this->quarantine.Quarantined(now)) {
+    nlohmann::json workers = nlohmann::json::array();
+    for (const UpstreamId& worker : input.workers) {
+      workers.push_back(worker.value);
     }
-    rows.push_back({{"part", part.id},
-                    {"crashes", part.crashes},
-                    {"last_crash_seconds_ago", ToSeconds(part.last_crash_age)},
-                    {"engines", std::move(engines)}});
+    rows.push_back({{"input", input.id},
+                    {"crashes", input.crashes},
+                    {"last_crash_seconds_ago", ToSeconds(input.last_crash_age)},
+                    {"workers", std::move(workers)}});
   }
-  const nlohmann::json page = {{"parts", std::move(rows)}};
+  const nlohmann::json page = {{"inputs", std::move(rows)}};
   return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -89,8 +89,8 @@
   if (!this->quarantine.RecordSound(now, id)) {
     return false;
   }
-  this->Log(LogLevel::kWarning, "prompt part released by an operator",
-            {{"part", id}});
+  this->Log(LogLevel::kWarning, "input released by an operator",
+            {{"input", id}});
   this->neighbours.OnGossipChanged(now);
   this->quarantine_changed = true;
   return true;
--- a/src/gateway/quarantine_records.cc
+++ b/src/gateway/quarantine_records.cc
@@ -28,26 +28,26 @@
     return;
   }
   std::set<std::string> quarantined;
-  for (const QuarantinedInput& part : this->quarantine->Quarantined(now)) {
-    quarantined.insert(part.id);
-    if (this->stored.count(part.id) > 0) {
+  for (const QuarantinedInput& input : this->quarantine->Quarantined(now)) {
+    quarantined.insert(input.id);
+    if (this->stored.count(input.id) > 0) {
       continue;
     }
-    this->stored[part.id] = Record::kWriting;
+    this->stored[input.id] = Record::kWriting;
     const StoreOp op = this->store->Put(
-        now, {this->kind, part.id},
-        ToJson(this->quarantine->ExportInput(now, part.id)).dump(),
+        now, {this->kind, input.id},
+        ToJson(this->quarantine->ExportInput(now, input.id)).dump(),
         WriteCondition::IfAbsent());
-    this->operations.emplace(op.value, part.id);
+    this->operations.emplace(op.value, input.id);
   }
-  for (auto& [part, record] : this->stored) {
-    if (record != Record::kStored || quarantined.count(part) > 0) {
+  for (auto& [input, record] : this->stored) {
+    if (record != Record::kStored || quarantined.count(input) > 0) {
       continue;
     }
     record = Record::kDeleting;
     const StoreOp op =
-        this->store->Delete(now, {this->kind, part}, WriteCondition{});
-    this->operations.emplace(op.value, part);
+        this->store->Delete(now, {this->kind, input}, WriteCondition{});
+    this->operations.emplace(op.value, input);
   }
 }
 
@@ -56,9 +56,9 @@
   if (operation == this->operations.end()) {
     return false;
   }
-  const std::string part = operation->second;
+  const std::string input = operation->second;
   this->operations.erase(operation);
-  if (part.empty()) {
+  if (input.empty()) {
     if (result.status != StoreStatus::kOk) {
       this->next_list = now + kListRetryInterval;
       return true;
@@ -68,7 +68,7 @@
     }
     return true;
   }
-  const auto record = this->stored.find(part);
+  const auto record = this->stored.find(input);
   if (record == this->stored.end()) {
     return true;  // the store was restored meanwhile
   }
@@ -77,7 +77,7 @@
                     result.status == (writing ? StoreStatus::kConflict
                                               : StoreStatus::kAbsent);
   if (!done) {
-    this->hooks.record_failed(part, std::string(ToText(result.status)));
+    this->hooks.record_failed(input, std::string(ToText(result.status)));
   }
   // What failed is repeated with the next update.
   if (writing == done) {
--- a/src/quarantine/evidence_json.cc
+++ b/src/quarantine/evidence_json.cc
@@ -7,9 +7,10 @@
 
 constexpr std::size_t kMaxRows = 512;
 constexpr std::size_t kMaxIdBytes = 64;
-constexpr std::size_t kMaxEngineBytes = 256;
+constexpr std::size_t kMaxWorkerBytes = 256;
 constexpr std::uint64_t kMaxAgeMs = 24ULL * 3600 * 1000;
 constexpr std::uint64_t kMaxDepth = 4096;
+constexpr std::uint64_t kMaxPrior = 4096;
 
 std::int64_t InMilliseconds(Duration age) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
@@ -33,22 +34,26 @@
 }
 
 bool ReadCrash(const Json& row, WorkerCrash* crash) {
-  const bool valid = IsRow(row, 4) && IsText(row[0], kMaxEngineBytes) &&
+  const bool valid = IsRow(row, 4) && IsText(row[0], kMaxWorkerBytes) &&
                      row[1].is_number_integer() &&
                      IsNumber(row[2], kMaxAgeMs) && IsList(row[3]);
   if (!valid) {
     return false;
   }
-  crash->engine.value = row[0].get<std::string>();
+  crash->worker.value = row[0].get<std::string>();
   crash->started_at = row[1].get<std::int64_t>();
   crash->age = std::chrono::milliseconds(row[2].get<std::uint64_t>());
-  for (const Json& part : row[3]) {
-    if (!IsRow(part, 2) || !IsText(part[0], kMaxIdBytes) ||
-        !IsNumber(part[1], kMaxDepth)) {
+  for (const Json& input : row[3]) {
+    // The third column is omitted while it is zero.
+    const bool has_prior = IsRow(input, 3);
+    if (!(has_prior || IsRow(input, 2)) || !IsText(input[0], kMaxIdBytes) ||
+        !IsNumber(input[1], kMaxDepth) ||
+        (has_prior && !IsNumber(input[2], kMaxPrior))) {
       return false;
     }
-    crash->parts.push_back(
-        {part[0].get<std::string>(), part[1].get<std::uint32_t>()});
+    crash->inputs.push_back({input[0].get<std::string>(),
+                             input[1].get<std::uint32_t>(),
+                             has_prior ? input[2].get<std::uint32_t>() : 0});
   }
   return true;
 }
@@ -84,12 +89,16 @@
 nlohmann::json ToJson(const CrashEvidence& evidence) {
   Json crashes = Json::array();
   for (const WorkerCrash& crash : evidence.crashes) {
-    Json parts = Json::array();
-    for (const SuspectInput& part : crash.parts) {
-      parts.push_back({part.id, part.depth});
+    Json inputs = Json::array();
+    for (const SuspectInput& input : crash.inputs) {
+      Json row = {input.id, input.depth};
+      if (input.prior > 0) {
+        row.push_back(input.prior);
+      }
+      inputs.push_back(std::move(row));
     }
-    crashes.push_back({crash.engine.value, crash.started_at,
-                       InMilliseconds(crash.age), std::move(parts)});
+    crashes.push_back({crash.worker.value, crash.started_at,
+                       InMilliseconds(crash.age), std::move(inputs)});
   }
   Json sound = Json::array();
   for (const SoundInput& part : evidence.sound) {
--- a/src/quarantine/input_quarantine.cc
+++ b/src/quarantine/input_quarantine.cc
@@ -21,7 +21,7 @@
 bool InputQuarantine::RecordSound(Instant now, const std::string& id) {
   const bool suspect = std::any_of(
       this->crashes.begin(), this->crashes.end(),
-      [&id](const auto& entry) { return entry.second.parts.count(id) > 0; });
+      [&id](const auto& entry) { return entry.second.inputs.count(id) > 0; });
   if (!suspect) {
     return false;
   }
@@ -52,24 +52,28 @@
   if (crash.age >= this->settings.retention) {
     return false;
   }
-  const Incarnation incarnation{crash.engine, crash.started_at};
+  const Incarnation incarnation{crash.worker, crash.started_at};
   const auto known = this->crashes.find(incarnation);
   Crash merged = known == this->crashes.end() ? Crash{now - crash.age, {}, {}}
                                               : known->second;
   merged.at = std::min(merged.at, now - crash.age);
   merged.noticed_here = merged.noticed_here || noticed_here;
   bool is_new = false;
-  for (const SuspectInput& part : crash.parts) {
-    const auto cleared = this->sound.find(part.id);
+  for (const SuspectInput& input : crash.inputs) {
+    const auto cleared = this->sound.find(input.id);
     const bool counts =
         (cleared == this->sound.end() || cleared->second < merged.at) &&
-        (merged.parts.count(part.id) > 0 ||
-         merged.parts.size() < this->settings.max_parts_per_crash);
-    if (counts) {
-      is_new = merged.parts.try_emplace(part.id, part.depth).second || is_new;
+        (merged.inputs.count(input.id) > 0 ||
+         merged.inputs.size() < this->settings.max_inputs_per_crash);
+    if (!counts) {
+      continue;
     }
+    const auto [suspicion, inserted] = merged.inputs.try_emplace(
+        input.id, Suspicion{input.depth, input.prior});
+    is_new = is_new || inserted || suspicion->second.prior < input.prior;
+    suspicion->second.prior = std::max(suspicion->second.prior, input.prior);
   }
-  if (merged.parts.empty()) {
+  if (merged.inputs.empty()) {
     return false;
   }
   this->crashes[incarnation] = std::move(merged);
@@ -89,9 +93,9 @@
   entry->second = std::max(entry->second, at);
   for (auto it = this->crashes.begin(); it != this->crashes.end();) {
     if (it->second.at <= entry->second) {
-      it->second.parts.erase(id);
+      it->second.inputs.erase(id);
     }
-    it = it->second.parts.empty() ? this->crashes.erase(it) : std::next(it);
+    it = it->second.inputs.empty() ? this->crashes.erase(it) : std::next(it);
   }
   if (this->sound.size() > this->settings.max_sound) {
     const auto oldest = std::min_element(
@@ -137,15 +141,46 @@
       [](const auto& a, const auto& b) { return a.second->at < b.second->at; });
   while (true) {
     struct Candidate {
-      std::size_t crashes = 0;
+      std::size_t crashes = 0;  ///< simultaneous ones count once
       Instant counted_at{};
+      std::size_t all_crashes = 0;
+      std::uint32_t prior = 0;
       std::uint32_t depth = 0;
+
+      /// Each was sent after those before, so these are not simultaneous. Some
+      /// of them may not count any more.
+      std::size_t Count() const {
+        return std::max(
+            this->crashes,
+            std::min<std::size_t>(this->prior + 1U, this->all_crashes));
+      }
+    };
+    std::vector<Instant> times;
+    std::map<std::string, std::vector<Instant>> times_by_input;
+    for (const auto& [incarnation, crash] : unexplained) {
+      times.push_back(crash->at);
+      for (const auto& [id, suspicion] : crash->inputs) {
+        times_by_input[id].push_back(crash->at);
+      }
+    }
+    const auto count_together = [this](const std::vector<Instant>& sorted,
+                                       Instant at) {
+      const Duration span = this->settings.together;
+      return std::upper_bound(sorted.begin(), sorted.end(), at + span) -
+             std::lower_bound(sorted.begin(), sorted.end(), at - span);
     };
     std::map<std::string, Candidate> candidates;
     for (const auto& [incarnation, crash] : unexplained) {
-      for (const auto& [id, depth] : crash->parts) {
+      for (const auto& [id, suspicion] : crash->inputs) {
+        // Workers that end together without this input have another cause.
+        if (count_together(times_by_input[id], crash->at) <
+            count_together(times, crash->at)) {
+          continue;
+        }
         Candidate& candidate = candidates[id];
-        candidate.depth = std::max(candidate.depth, depth);
+        candidate.depth = std::max(candidate.depth, suspicion.depth);
+        candidate.prior = std::max(candidate.prior, suspicion.prior);
+        ++candidate.all_crashes;
         if (candidate.crashes == 0 ||
             crash->at - candidate.counted_at >= this->settings.simultaneous) {
           ++candidate.crashes;
@@ -155,21 +190,21 @@
     }
     const auto most = std::max_element(
         candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-          return std::pair(a.second.crashes, a.second.depth) <
-                 std::pair(b.second.crashes, b.second.depth);
+          return std::pair(a.second.Count(), a.second.depth) <
+                 std::pair(b.second.Count(), b.second.depth);
         });
     if (most == candidates.end() ||
-        most->second.crashes < this->settings.min_crashes) {
+        most->second.Count() < this->settings.min_crashes) {
       return;
     }
     Verdict& verdict = this->verdicts[most->first];
-    verdict.crashes = most->second.crashes;
+    verdict.crashes = most->second.Count();
     const auto explained = std::stable_partition(
         unexplained.begin(), unexplained.end(), [&most](const auto& entry) {
-          return entry.second->parts.count(most->first) == 0;
+          return entry.second->inputs.count(most->first) == 0;
         });
     for (auto it = explained; it != unexplained.end(); ++it) {
-      verdict.engines.push_back(it->first);
+      verdict.workers.push_back(it->first);
       verdict.last_crash = it->second->at;
     }
     unexplained.erase(explained, unexplained.end());
@@ -177,7 +212,7 @@
 }
 
 const std::string* InputQuarantine::Explanation(const Crash& crash) const {
-  for (const auto& [id, depth] : crash.parts) {
+  for (const auto& [id, suspicion] : crash.inputs) {
     const auto verdict = this->verdicts.find(id);
     if (verdict != this->verdicts.end()) {
       return &verdict->first;
@@ -187,11 +222,11 @@
 }
 
 std::optional<std::string> InputQuarantine::Find(
-    Instant now, const std::vector<std::string>& parts) const {
+    Instant now, const std::vector<std::string>& ids) const {
   if (this->verdicts.empty()) {
     return std::nullopt;
   }
-  for (const std::string& id : parts) {
+  for (const std::string& id : ids) {
     const auto verdict = this->verdicts.find(id);
     if (verdict != this->verdicts.end() &&
         now - verdict->second.last_crash < this->settings.hold) {
@@ -207,18 +242,31 @@
   WorkerCrash exported{
       incarnation.first, incarnation.second, now - crash.at, {}};
   if (const std::string* explanation = this->Explanation(crash)) {
-    exported.parts = {{*explanation, crash.parts.at(*explanation)}};
+    const Suspicion& suspicion = crash.inputs.at(*explanation);
+    exported.inputs = {{*explanation, suspicion.depth, suspicion.prior}};
     return exported;
   }
-  for (const auto& [id, depth] : crash.parts) {
-    exported.parts.push_back({id, depth});
+  std::vector<std::pair<std::uint32_t, SuspectInput>> parts;
+  std::vector<std::pair<std::uint32_t, SuspectInput>> requests;
+  for (const auto& [id, suspicion] : crash.inputs) {
+    auto& kind = suspicion.depth < kRequestDepth ? parts : requests;
+    kind.emplace_back(this->CountCrashes(id),
+                      SuspectInput{id, suspicion.depth, suspicion.prior});
   }
-  std::sort(exported.parts.begin(), exported.parts.end(),
-            [](const SuspectInput& a, const SuspectInput& b) {
-              return std::tie(b.depth, a.id) < std::tie(a.depth, b.id);
-            });
-  exported.parts.resize(
-      std::min(exported.parts.size(), this->settings.max_exported_parts));
+  // Inputs of several crashes come first: one that ended a worker only by
+  // coincidence is seldom among them.
+  const auto export_first = [&exported](auto* counted, std::size_t limit) {
+    std::sort(counted->begin(), counted->end(),
+              [](const auto& a, const auto& b) {
+                return std::tie(b.first, b.second.depth, a.second.id) <
+                       std::tie(a.first, a.second.depth, b.second.id);
+              });
+    for (std::size_t i = 0; i < std::min(counted->size(), limit); ++i) {
+      exported.inputs.push_back((*counted)[i].second);
+    }
+  };
+  export_first(&parts, this->settings.max_exported_parts);
+  export_first(&requests, this->settings.max_exported_requests);
   return exported;
 }
 
@@ -239,8 +287,6 @@
       [](const SoundInput& a, const SoundInput& b) { return a.age < b.age; });
   evidence.sound.resize(
       std::min(evidence.sound.size(), this->settings.max_exported_sound));
-  // The latest crashes of each quarantined part suffice to quarantine it
-  // elsewhere; simultaneous ones don't count.
   std::vector<std::pair<Incarnation, const Crash*>> order;
   for (const auto& [incarnation, crash] : this->crashes) {
     if (include_received || crash.noticed_here) {
@@ -250,26 +296,38 @@
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
     return a.second->at > b.second->at;
   });
-  std::map<std::string, std::pair<std::size_t, Instant>> exported;
+  std::map<std::string, std::vector<Incarnation>> explained;
   std::vector<std::pair<Incarnation, const Crash*>> others;
   for (const auto& [incarnation, crash] : order) {
-    const std::string* explanation = this->Explanation(*crash);
-    if (explanation == nullptr) {
+    if (const std::string* explanation = this->Explanation(*crash)) {
+      explained[*explanation].push_back(incarnation);
+    } else {
       others.emplace_back(incarnation, crash);
-      continue;
     }
-    auto& [count, last] = exported[*explanation];
-    const bool simultaneous =
-        count > 0 &&
-        last - crash->at < this->settings.simultaneous + kAgeResolution;
-    if (count < this->settings.min_crashes && !simultaneous) {
-      ++count;
-      last = crash->at;
-      evidence.crashes.push_back(this->MakeExport(now, incarnation, *crash));
+  }
+  for (const auto& [id, incarnations] : explained) {
+    for (const Incarnation& incarnation :
+         this->SelectSufficient(id, incarnations)) {
+      evidence.crashes.push_back(
+          this->MakeExport(now, incarnation, this->crashes.at(incarnation)));
     }
   }
+  std::sort(
+      evidence.crashes.begin(), evidence.crashes.end(),
+      [](const WorkerCrash& a, const WorkerCrash& b) { return a.age < b.age; });
   evidence.crashes.resize(
       std::min(evidence.crashes.size(), this->settings.max_exported_crashes));
+  // Inputs of several crashes are the ones whose sound runs matter elsewhere.
+  std::map<Incarnation, std::uint32_t> most;
+  for (const auto& [incarnation, crash] : others) {
+    for (const auto& [id, suspicion] : crash->inputs) {
+      most[incarnation] = std::max(most[incarnation], this->CountCrashes(id));
+    }
+  }
+  std::stable_sort(others.begin(), others.end(),
+                   [&most](const auto& a, const auto& b) {
+                     return most[a.first] > most[b.first];
+                   });
   others.resize(std::min(others.size(), this->settings.max_exported_suspects));
   for (const auto& [incarnation, crash] : others) {
     evidence.crashes.push_back(this->MakeExport(now, incarnation, *crash));
@@ -277,6 +335,34 @@
   return evidence;
 }
 
+std::vector<InputQuarantine::Incarnation> InputQuarantine::SelectSufficient(
+    const std::string& id, const std::vector<Incarnation>& ids) const {
+  std::vector<Incarnation> selected;
+  std::optional<Instant> last;
+  for (const Incarnation& each : ids) {
+    const Instant at = this->crashes.at(each).at;
+    const bool simultaneous =
+        last.has_value() && std::max(at - *last, *last - at) <
+                                this->settings.simultaneous + kAgeResolution;
+    if (!simultaneous && selected.size() < this->settings.min_crashes) {
+      selected.push_back(each);
+      last = at;
+    }
+  }
+  if (selected.size() == this->settings.min_crashes) {
+    return selected;
+  }
+  // Simultaneous ones count by the crashes that were known before them.
+  selected = ids;
+  std::stable_sort(selected.begin(), selected.end(),
+                   [&](const Incarnation& a, const Incarnation& b) {
+                     return this->crashes.at(a).inputs.at(id).prior >
+                            this->crashes.at(b).inputs.at(id).prior;
+                   });
+  selected.resize(std::min(selected.size(), this->settings.min_crashes));
+  return selected;
+}
+
 CrashEvidence InputQuarantine::ExportInput(Instant now,
                                            const std::string& id) const {
   CrashEvidence evidence;
@@ -284,34 +370,41 @@
   if (verdict == this->verdicts.end()) {
     return evidence;
   }
-  std::optional<Instant> last;
-  for (const Incarnation& incarnation : verdict->second.engines) {
-    const Crash& crash = this->crashes.at(incarnation);
-    const bool counts =
-        !last.has_value() ||
-        crash.at - *last >= this->settings.simultaneous + kAgeResolution;
-    if (counts && evidence.crashes.size() < this->settings.min_crashes) {
-      last = crash.at;
-      evidence.crashes.push_back(this->MakeExport(now, incarnation, crash));
-    }
+  for (const Incarnation& incarnation :
+       this->SelectSufficient(id, verdict->second.workers)) {
+    evidence.crashes.push_back(
+        this->MakeExport(now, incarnation, this->crashes.at(incarnation)));
   }
   return evidence;
 }
 
+std::uint32_t InputQuarantine::CountCrashes(const std::string& id) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      this->crashes.begin(), this->crashes.end(),
+      [&id](const auto& each) { return each.second.inputs.count(id) > 0; }));
+}
+
+bool InputQuarantine::HasCrash(const UpstreamId& worker,
+                               std::int64_t started_at,
+                               const std::string& id) const {
+  const auto found = this->crashes.find({worker, started_at});
+  return found != this->crashes.end() && found->second.inputs.count(id) > 0;
+}
+
 std::vector<QuarantinedInput> InputQuarantine::Quarantined(Instant now) const {
-  std::vector<QuarantinedInput> parts;
+  std::vector<QuarantinedInput> inputs;
   for (const auto& [id, verdict] : this->verdicts) {
     const Duration age = now - verdict.last_crash;
     if (age >= this->settings.hold) {
       continue;
     }
-    QuarantinedInput part{id, verdict.crashes, age, {}};
-    for (const Incarnation& incarnation : verdict.engines) {
-      part.engines.push_back(incarnation.first);
+    QuarantinedInput input{id, verdict.crashes, age, {}};
+    for (const Incarnation& incarnation : verdict.workers) {
+      input.workers.push_back(incarnation.first);
     }
-    parts.push_back(std::move(part));
+    inputs.push_back(std::move(input));
   }
-  return parts;
+  return inputs;
 }
 
 }  // namespace limpetlink
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Quarantine of prompt parts that end engines.
+/// @brief Quarantine of prompt parts and requests that end workers.
 #pragma once
 
 #include "quarantine/detail/input_quarantine.h"
