Bound responses that come without end

A worker, engine or store in trouble may send bytes without end in a head or a body until its client closes. The event loop didn't enforce a call's total timeout, so a report that trickled kept its connection and its engine unpolled for good; interim responses were read without end; a report or a command's response could take 64 MiB, on hosts of 88 MB that poll each engine; plain responses were bounded singly, not together.

Calls carry the largest body that they accept, and both HTTP clients enforce it and the total timeout; interim responses are counted. Plain responses are bounded together, and the largest is given up: retried elsewhere if idempotent, else 502 with an unknown outcome. Unusable responses eject a worker like missing ones, after three in a row.

event_loop_test, before: interim responses were read for 256 MiB, bodies to 64 MiB with a bound of 32 KiB, and the trickled response didn't end within ten minutes. After: 14 cases pass. gateway_test, 72 cases: 40 requests to two workers, one of them endless, stay below 25 MiB and the worker gets none after two seconds. libcurl's client has the same bounds, without a test of its own.

--- a/src/adapters/detail/transfer.h
+++ b/src/adapters/detail/transfer.h
@@ -65,6 +65,8 @@
   std::unique_ptr<CURL, EasyCleanup> easy;
   std::unique_ptr<curl_slist, ListCleanup> header_lines;
   HttpHead head;
+  std::uint64_t head_bytes = 0;  ///< received, of all heads
+  std::uint64_t body_bytes = 0;  ///< received
   bool head_emitted = false;
   int sends = 0;
 };
--- a/src/adapters/transfer.cc
+++ b/src/adapters/transfer.cc
@@ -146,14 +146,26 @@
 std::size_t Transfer::OnHeader(char* bytes, std::size_t size, std::size_t count,
                                void* self) {
   constexpr std::size_t kMaxHeaders = 256;
+  // Of all heads together: interim responses may come without end.
+  constexpr std::size_t kMaxHeadBytes = 256U << 10U;
   auto* const transfer = static_cast<Transfer*>(self);
+  transfer->head_bytes += size * count;
   transfer->HandleHeaderLine({bytes, size * count});
-  return transfer->head.headers.size() > kMaxHeaders ? 0 : size * count;
+  const bool too_large = transfer->head.headers.size() > kMaxHeaders ||
+                         transfer->head_bytes > kMaxHeadBytes;
+  return too_large ? 0 : size * count;
 }
 
 std::size_t Transfer::OnBody(char* bytes, std::size_t size, std::size_t count,
                              void* self) {
+  constexpr std::uint64_t kMaxBody = 64U << 20U;
   auto* const transfer = static_cast<Transfer*>(self);
+  transfer->body_bytes += size * count;
+  const std::uint64_t limit =
+      transfer->call.max_body > 0 ? transfer->call.max_body : kMaxBody;
+  if (transfer->body_bytes > limit) {
+    return 0;  // ends the call as cut
+  }
   (*transfer->sink)(
       HttpChunk{transfer->call.id, std::string(bytes, size * count)});
   return size * count;
--- a/src/event_loop/call_client.cc
+++ b/src/event_loop/call_client.cc
@@ -22,6 +22,7 @@
 constexpr Duration kPreconnectTimeout = std::chrono::milliseconds(400);
 constexpr std::uint64_t kMaxBody = 64U << 20U;
 constexpr std::uint32_t kMaxHead = 64U << 10U;
+constexpr int kMaxInterimResponses = 16;
 constexpr std::string_view kScheme = "http://";
 
 std::optional<Duration> KeepAliveTime(const http::fields& fields) {
@@ -54,7 +55,8 @@
       : client(client),
         address(std::move(address)),
         socket(*client->context),
-        connect_timer(*client->context) {}
+        connect_timer(*client->context),
+        total_timer(*client->context) {}
 
   const std::string& Address() const { return this->address; }
 
@@ -63,7 +65,12 @@
     this->is_head = call.method == "HEAD";
     this->output = RenderRequest(call, target, this->address);
     this->head_emitted = false;
+    this->interim_responses = 0;
+    this->max_body = call.max_body > 0 ? call.max_body : kMaxBody;
     this->NewParser();
+    if (call.total_timeout > Duration{0}) {
+      this->StartTotalTimer(call.total_timeout);
+    }
     if (this->connected) {
       this->Write();
       return;
@@ -90,6 +97,7 @@
     this->call = CallId{};
     ErrorCode ignored;  // close releases the descriptor even on an error
     this->connect_timer.cancel(ignored);
+    this->total_timer.cancel(ignored);
     this->socket.close(ignored);
   }
 
@@ -103,13 +111,23 @@
   void NewParser() {
     this->parser.emplace();
     this->parser->eager(true);
-    this->parser->body_limit(kMaxBody);
+    this->parser->body_limit(this->max_body);
     this->parser->header_limit(kMaxHead);
     if (this->is_head) {
       this->parser->skip(true);
     }
   }
 
+  void StartTotalTimer(Duration timeout) {
+    this->total_timer.expires_after(timeout);
+    this->total_timer.async_wait([self = this->shared_from_this(),
+                                  timed = this->call](const ErrorCode& error) {
+      if (!error && !self->closed && self->call == timed) {
+        self->End(self->connected ? HttpEnd::kTimeout : HttpEnd::kNotConnected);
+      }
+    });
+  }
+
   void Connect(Duration timeout) {
     const absl::StatusOr<SocketAddress> parsed =
         ParseSocketAddress(this->address);
@@ -253,10 +271,15 @@
 
   void Finish() {
     if (!this->head_emitted) {
+      if (++this->interim_responses > kMaxInterimResponses) {
+        this->End(HttpEnd::kCut);
+        return;
+      }
       this->NewParser();
       this->Parse();
       return;
     }
+    this->total_timer.cancel();
     const bool reusable = this->parser->keep_alive() && !this->writing &&
                           this->input.empty() && !this->paused;
     const Duration keep_alive =
@@ -287,12 +310,15 @@
   std::string address;
   Tcp::socket socket;
   asio::steady_timer connect_timer;
+  asio::steady_timer total_timer;
   std::array<char, kReadBytes> buffer{};
   std::string input;
   std::string output;
   std::optional<Parser> parser;
   CallId call;
   Instant usable_until{};
+  std::uint64_t max_body = kMaxBody;
+  int interim_responses = 0;  ///< to the current call
   bool is_head = false;
   bool head_emitted = false;
   bool connected = false;
--- a/src/event_loop/tests/event_loop_test.cc
+++ b/src/event_loop/tests/event_loop_test.cc
@@ -242,6 +242,8 @@
         call.method = "POST";
         call.url = "http://" + this->worker.Address() + request->target;
         call.body = "body";
+        call.total_timeout = this->total_timeout;
+        call.max_body = this->max_body;
         return {call};
       }
       if (const auto* head = std::get_if<HttpHead>(&event)) {
@@ -276,6 +278,8 @@
   std::uint64_t last_call = 0;
   int status = 0;
   std::string received;
+  Duration total_timeout{0};
+  std::uint64_t max_body = 0;
 };
 
 TEST_CASE_METHOD(CallFixture,
@@ -381,5 +385,86 @@
   server.join();
 }
 
+/// @brief A server that writes without end until the client closes.
+class EndlessFixture : public CallFixture {
+ public:
+  /// @return the bytes written before the client had closed; none if it never
+  /// did
+  std::size_t WriteUntilClosed(const std::string& begin,
+                               const std::string& repeated,
+                               std::chrono::milliseconds pause = {}) {
+    constexpr std::size_t kGiveUp = 256U << 20U;
+    Tcp::socket socket = this->worker.Accept();
+    ReadRequest(&socket);
+    WriteText(&socket, begin);
+    boost::system::error_code error;
+    std::size_t written = 0;
+    while (!error && written < kGiveUp) {
+      written += asio::write(socket, asio::buffer(repeated), error);
+      std::this_thread::sleep_for(pause);
+    }
+    return error ? written : 0;
+  }
+};
+
+TEST_CASE_METHOD(EndlessFixture,
+                 "call, bytes come without end, ends and closes the connection",
+                 "[event_loop]") {
+  std::size_t written = 0;
+  std::string begin;
+  std::string repeated;
+  std::string end = "cut 0";
+  SECTION("in a head") {
+    begin = "HTTP/1.1 200 OK\r\nX: ";
+    repeated = std::string(4096, 'x');
+  }
+  SECTION("in header lines") {
+    begin = "HTTP/1.1 200 OK\r\n";
+    repeated = "X-Line: " + std::string(1000, 'x') + "\r\n";
+  }
+  SECTION("in interim responses") {
+    repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  SECTION("in a body without a length") {
+    begin = "HTTP/1.1 200 OK\r\n\r\n";
+    repeated = std::string(4096, 'x');
+    end = "cut 200";
+  }
+  SECTION("in chunks") {
+    begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    repeated = "400\r\n" + std::string(1024, 'x') + "\r\n";
+    end = "cut 200";
+  }
+  this->max_body = 32U << 10U;
+  std::thread server(
+      [&] { written = this->WriteUntilClosed(begin, repeated); });
+  const std::string text = this->SendRequest();
+  server.join();
+  CHECK(text.find(end) != std::string::npos);
+  CHECK(text.size() < (40U << 10U));
+  CHECK(written > 0);
+}
+
+TEST_CASE_METHOD(EndlessFixture,
+                 "call, a byte comes now and then without end, ends at its "
+                 "total timeout",
+                 "[event_loop]") {
+  this->total_timeout = std::chrono::milliseconds(300);
+  std::size_t written = 0;
+  std::string begin;
+  std::string end = "timeout 0";
+  SECTION("in a head") { begin = "HTTP/1.1 200 OK\r\nX: "; }
+  SECTION("in a body") {
+    begin = "HTTP/1.1 200 OK\r\n\r\n";
+    end = "timeout 200";
+  }
+  std::thread server([&] {
+    written = this->WriteUntilClosed(begin, "x", std::chrono::milliseconds(20));
+  });
+  CHECK(this->SendRequest().find(end) != std::string::npos);
+  server.join();
+  CHECK(written > 0);
+}
+
 }  // namespace
 }  // namespace limpetlink
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -184,6 +184,9 @@
                            const Attempt& attempt, AttemptEnd end);
   /// @brief Refuses a request that did not run and can't be sent again.
   void RefuseAfterAttempt(Instant now, std::uint64_t id, AttemptEnd end);
+  /// @brief Ends an attempt whose response takes too much memory.
+  void EndOversized(Instant now, ForwardedRequest* flow, Attempt* attempt);
+  void EndLargestResponse(Instant now);
   AttemptEnd Classify(const ForwardedRequest& flow, const Attempt& attempt,
                       HttpEnd end) const;
   void Deliver(Instant now, std::uint64_t id, const Attempt& attempt);
@@ -295,6 +298,7 @@
   std::set<UpstreamId> unreadable_limits;  ///< workers, logged once
   /// When the last refused caller of a service was told to return.
   std::map<std::string, Instant> returns;
+  std::size_t buffered_responses = 0;  ///< bytes of incomplete responses
   Instant next_load_poll{};
   std::set<std::uint64_t> releases;  ///< calls whose response is ignored
   Actions actions;
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -9,6 +9,11 @@
 // Timeouts of commands to a leaving worker, which has less time than this.
 constexpr Duration kCommandTimeout = std::chrono::milliseconds(3000);
 constexpr Duration kCommandConnectTimeout = std::chrono::milliseconds(400);
+// A report is polled from every engine: an engine that never completes it must
+// not occupy a connection or memory for long.
+constexpr Duration kReportTimeout = std::chrono::milliseconds(2000);
+constexpr std::uint64_t kMaxReport = 256U << 10U;
+constexpr std::uint64_t kMaxCommandResponse = 64U << 10U;
 // Lag of an engine's report, as the engine documents it.
 constexpr Duration kReportLag = std::chrono::milliseconds(500);
 // A stream without its first token can't migrate yet; the command is retried.
@@ -52,6 +57,8 @@
   call.id = this->hooks.next_call_id();
   call.url = "http://" + worker.address + call.url;
   call.connect_timeout = kCommandConnectTimeout;
+  call.total_timeout = kReportTimeout;
+  call.max_body = kMaxReport;
   return call;
 }
 
@@ -359,6 +366,7 @@
   call.url = "http://" + migration.source_address + call.url;
   call.connect_timeout = kCommandConnectTimeout;
   call.total_timeout = kCommandTimeout;
+  call.max_body = kMaxCommandResponse;
   migration.phase =
       final_part ? MigrationPhase::kStopping : MigrationPhase::kCopying;
   migration.call = call.id;
@@ -558,6 +566,8 @@
   call.id = this->hooks.next_call_id();
   call.url = "http://" + migration.source_address + call.url;
   call.connect_timeout = kCommandConnectTimeout;
+  call.total_timeout = kCommandTimeout;
+  call.max_body = kMaxCommandResponse;
   this->releases.insert(call.id.value);
   this->actions.emplace_back(std::move(call));
 }
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kResumeThreshold = 16U << 10U;
 // Maximum size of a response that is buffered until it is complete.
 constexpr std::size_t kMaxBufferedResponse = 8U << 20U;
+// Of all these responses together; a small host has 88 MB.
+constexpr std::size_t kMaxBufferedResponses = 24U << 20U;
 // Base interval at which a host polls the load of the engines in its failure
 // domain; the load known of an engine is out of date by about one interval. The
 // interval grows with the number of engines, as more hosts then poll each one.
@@ -156,14 +158,44 @@
     return true;
   }
   attempt->body += chunk.bytes;
+  this->buffered_responses += chunk.bytes.size();
   if (attempt->body.size() > kMaxBufferedResponse) {
-    this->actions.emplace_back(HttpCancel{chunk.id});
-    this->EndAttempt(now, flow->request.id.value, chunk.id,
-                     AttemptEnd::kMalformed);
+    this->EndOversized(now, flow, attempt);
+  } else if (this->buffered_responses > kMaxBufferedResponses) {
+    this->EndLargestResponse(now);
   }
   return true;
 }
 
+void Forwarding::EndOversized(Instant now, ForwardedRequest* flow,
+                              Attempt* attempt) {
+  this->Log(
+      LogLevel::kWarning, "response too large",
+      {{"request", flow->metadata.request_id},
+       {"worker", attempt->worker.value},
+       {"bytes", std::to_string(attempt->body.size())},
+       {"all_responses_bytes", std::to_string(this->buffered_responses)}});
+  this->actions.emplace_back(HttpCancel{attempt->call});
+  this->EndAttempt(now, flow->request.id.value, attempt->call,
+                   AttemptEnd::kMalformed);
+}
+
+void Forwarding::EndLargestResponse(Instant now) {
+  ForwardedRequest* owner = nullptr;
+  Attempt* largest = nullptr;
+  for (auto& [id, flow] : this->flows) {
+    for (Attempt& attempt : flow.running) {
+      if (largest == nullptr || attempt.body.size() > largest->body.size()) {
+        owner = &flow;
+        largest = &attempt;
+      }
+    }
+  }
+  if (largest != nullptr) {
+    this->EndOversized(now, owner, largest);
+  }
+}
+
 void Forwarding::RelayEvents(Instant now, ForwardedRequest* flow,
                              Attempt* attempt, std::string_view bytes) {
   SplitEvents split = flow->events.Push(bytes);
@@ -259,16 +291,18 @@
                    [call](const Attempt& a) { return a.call == call; });
   const Attempt attempt = std::move(*found);
   flow.running.erase(found);
+  this->buffered_responses -= attempt.body.size();
   this->flow_of_call.erase(call.value);
   this->loads.End(now, attempt.worker, flow.size, attempt.status != 0);
   this->hooks.loads_changed(now);
-  const bool silent =
-      end == AttemptEnd::kNotConnected || end == AttemptEnd::kCut;
+  const bool unusable = end == AttemptEnd::kNotConnected ||
+                        end == AttemptEnd::kCut ||
+                        end == AttemptEnd::kMalformed;
   const bool failed = end != AttemptEnd::kAnswered;
   const bool moving =
       flow.migration.has_value() && flow.migration->source == attempt.worker;
   if (!moving) {  // a leaving worker hasn't failed
-    this->loads.RecordAttempt(now, attempt.worker, failed, silent);
+    this->loads.RecordAttempt(now, attempt.worker, failed, unusable);
   }
   if (end == AttemptEnd::kNotConnected) {
     ++flow.connect_failures;
@@ -467,6 +501,7 @@
                                 bool silent) {
   for (const Attempt& attempt : flow->running) {
     this->actions.emplace_back(HttpCancel{attempt.call});
+    this->buffered_responses -= attempt.body.size();
     this->flow_of_call.erase(attempt.call.value);
     this->loads.End(now, attempt.worker, flow->size, attempt.status != 0);
     this->hooks.loads_changed(now);
--- a/src/gateway/tests/forwarding_test.cc
+++ b/src/gateway/tests/forwarding_test.cc
@@ -247,5 +247,64 @@
   CHECK(attempts > requests);
 }
 
+TEST_CASE_METHOD(GatewayFixture,
+                 "forwarding, a worker's responses come without end, are cut "
+                 "in bounded memory and the worker is avoided",
+                 "[gateway]") {
+  this->Register("sound", "app");
+  this->Register("endless", "app");
+  constexpr std::size_t kChunk = 1U << 20U;
+  std::map<std::uint64_t, std::size_t> open;  // bytes by call
+  std::size_t most = 0;
+  const auto write_all = [&] {
+    for (const auto& [call, bytes] : std::map(open)) {
+      HttpCall endless;
+      endless.id = CallId{call};
+      if (this->Cancelled(endless)) {
+        open.erase(call);
+        continue;
+      }
+      open[call] += kChunk;
+      this->RespondBytes(endless, std::string(kChunk, 'x'));
+      std::size_t sum = 0;
+      for (const auto& [id, each] : open) {
+        HttpCall other;
+        other.id = CallId{id};
+        sum += this->Cancelled(other) ? 0 : each;
+      }
+      most = std::max(most, sum);
+    }
+  };
+  int placed_late = 0;
+  std::vector<RequestId> sent;
+  for (int round = 0; round < 60; ++round) {
+    for (int i = 0; i < (round == 0 ? 40 : 1); ++i) {
+      sent.push_back(this->SendRequest("/lookup/" + std::to_string(round)));
+    }
+    for (const HttpCall& call : this->TakeCalls()) {
+      if (HeaderOf(call.headers, "worker") == "endless") {
+        placed_late += round >= 45 ? 1 : 0;
+        this->RespondHead(call, 200);
+        open[call.id.value] = 0;
+      } else {
+        this->Respond(call, 200, "done");
+      }
+    }
+    write_all();
+    for (const HttpCall& call : this->TakeCalls()) {
+      this->Respond(call, 200, "done");  // a retry
+    }
+    this->Advance(milliseconds(40));
+  }
+  CHECK(most > (16U << 20U));
+  CHECK(most <= (25U << 20U));
+  CHECK(placed_late == 0);
+  for (const RequestId& id : sent) {
+    CHECK(this->ResponseTo(id).ended);
+    CHECK((this->ResponseTo(id).status == 200 ||
+           this->ResponseTo(id).body.find("unknown") != std::string::npos));
+  }
+}
+
 }  // namespace
 }  // namespace limpetlink::testing
--- a/src/metadata_store/client.cc
+++ b/src/metadata_store/client.cc
@@ -13,6 +13,8 @@
 /// Weight of a new sample in the moving average of the latency.
 constexpr double kLatencyWeight = 0.2;
 constexpr Duration kMinWait = std::chrono::milliseconds(1);
+// A page of a list and one more object, with escaped characters.
+constexpr std::uint64_t kMaxResponse = 8U << 20U;
 
 bool IsWatch(StoreVerb verb) {
   return verb == StoreVerb::kWatch || verb == StoreVerb::kWatchKind;
@@ -250,6 +252,7 @@
       this->settings.url + this->settings.dialect.target(pending->request);
   call.body = pending->body;
   call.total_timeout = limit;
+  call.max_body = kMaxResponse;
   AddCondition(pending->condition, &call.headers);
   if (IsWrite(verb) && this->settings.dialect.adapt_write) {
     this->settings.dialect.adapt_write(pending->request, &call);
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -112,7 +112,8 @@
   Headers headers;
   std::string body;
   Duration connect_timeout{std::chrono::seconds(1)};
-  Duration total_timeout{0};  ///< 0: unlimited
+  Duration total_timeout{0};   ///< 0: unlimited
+  std::uint64_t max_body = 0;  ///< bytes of the response; 0: the adapter's own
 };
 
 /// @brief Cancels an HTTP call; the adapter emits no further events for it once
--- a/src/routing/detail/load_table.h
+++ b/src/routing/detail/load_table.h
@@ -111,9 +111,9 @@
 
   /// @brief Records the outcome of an attempt at the worker.
   /// @param failed whether the attempt failed
-  /// @param silent whether there was no response at all
+  /// @param unusable whether there was no response, or one that isn't valid
   void RecordAttempt(Instant now, const UpstreamId& worker, bool failed,
-                     bool silent);
+                     bool unusable);
 
   /// @brief Removes a worker; also called when a new incarnation of the worker
   /// registers under the same id.
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -231,11 +231,11 @@
 }
 
 void LoadTable::RecordAttempt(Instant now, const UpstreamId& worker,
-                              bool failed, bool silent) {
+                              bool failed, bool unusable) {
   Entry& entry = this->entries[worker];
   entry.failure_rate +=
       kFailureRateGain * ((failed ? 1.0 : 0.0) - entry.failure_rate);
-  if (silent) {
+  if (unusable) {
     entry.health.RecordFailure(now, false);
   } else {
     entry.health.RecordSuccess(now);
