--- a/tests/hosts/gateway_group.h
+++ b/tests/hosts/gateway_group.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -176,4 +177,77 @@
   std::size_t domains;
 };
 
+/// @brief The codec of a fleet with one application service, "app": lookups
+/// below /lookup/ may be repeated, orders below /order/ may not.
+///
+/// A worker's registration is "ADDRESS DOMAIN STARTED_AT". A response has the
+/// id of its request in "id", and may name a limit in "limit".
+inline GatewayCodec AppServiceCodec() {
+  GatewayCodec codec;
+  codec.deployment_kind = "deployments";
+  codec.deployment_name = "main";
+  codec.worker_kind = "workers";
+  codec.quarantine_kind = "quarantine";
+  codec.ready_path = "/ready";
+  codec.deployment = [](const ObjectRecord& record) {
+    Deployment deployment;
+    deployment.version = std::stoull(record.bytes);
+    ForwardingRoute lookups;
+    lookups.name = "lookups";
+    lookups.host = "fleet";
+    lookups.path_prefix = "/lookup/";
+    lookups.kind = RouteKind::kIdempotent;
+    lookups.services = {{"app", 1.0}};
+    lookups.timeout = std::chrono::seconds(4);
+    lookups.objective = std::chrono::milliseconds(250);
+    lookups.max_attempts = 2;
+    lookups.anonymous = true;
+    ForwardingRoute orders = lookups;
+    orders.name = "orders";
+    orders.path_prefix = "/order/";
+    orders.kind = RouteKind::kNonIdempotent;
+    deployment.routes = {lookups, orders};
+    deployment.services = {{"app", std::nullopt}};
+    return absl::StatusOr<Deployment>(std::move(deployment));
+  };
+  codec.worker = [](const ObjectRecord& record) {
+    std::istringstream columns(record.bytes);
+    WorkerRegistration worker;
+    worker.id = UpstreamId{record.name};
+    worker.service = "app";
+    worker.slots = 6;
+    columns >> worker.address >> worker.domain.value >> worker.started_at;
+    return absl::StatusOr<WorkerRegistration>(std::move(worker));
+  };
+  codec.caller_metadata = [](const Headers& headers) {
+    CallerMetadata metadata;
+    metadata.request_id = *FindHeader(headers, "id");
+    return absl::StatusOr<CallerMetadata>(std::move(metadata));
+  };
+  codec.worker_headers = [](const Headers& headers, const WorkerMetadata&) {
+    return headers;
+  };
+  codec.worker_response = [](const Headers& headers) {
+    WorkerResponse response;
+    if (const std::string* id = FindHeader(headers, "id")) {
+      response.request_id = *id;
+      response.is_signed = true;
+    }
+    if (const std::string* limit = FindHeader(headers, "limit")) {
+      response.request_limit = std::stod(*limit);
+    }
+    return response;
+  };
+  codec.caller_headers = [](const Headers& headers) { return headers; };
+  codec.report_call = [] {
+    HttpCall call;
+    call.url = "/report";
+    return call;
+  };
+  codec.report = [](const std::string&) -> absl::StatusOr<EngineReport> {
+    return EngineReport{};
+  };
+  return codec;
+}
+
 }  // namespace limpetlink
--- a/tests/hosts/request_crashes_test.cc
+++ b/tests/hosts/request_crashes_test.cc
@@ -4,7 +4,6 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -51,7 +50,8 @@
     Headers headers;
   };
 
-  explicit RequestCrashFixture(std::size_t hosts) : group(Codec(), kDomains) {
+  explicit RequestCrashFixture(std::size_t hosts)
+      : group(AppServiceCodec(), kDomains) {
     this->group.store.Write("deployments", "main", "1");
     this->group.on_step = [this] { this->Step(); };
     this->group.on_worker_call = [this](const std::string& host,
@@ -79,72 +79,6 @@
     this->group.Advance(seconds(8));
   }
 
-  static GatewayCodec Codec() {
-    GatewayCodec codec;
-    codec.deployment_kind = "deployments";
-    codec.deployment_name = "main";
-    codec.worker_kind = "workers";
-    codec.quarantine_kind = "quarantine";
-    codec.ready_path = "/ready";
-    codec.deployment = [](const ObjectRecord& record) {
-      Deployment deployment;
-      deployment.version = std::stoull(record.bytes);
-      ForwardingRoute route;
-      route.name = "lookups";
-      route.host = "fleet";
-      route.path_prefix = "/lookup/";
-      route.kind = RouteKind::kIdempotent;
-      route.services = {{"app", 1.0}};
-      route.timeout = seconds(4);
-      route.objective = milliseconds(250);
-      route.max_attempts = 2;
-      route.anonymous = true;
-      ForwardingRoute orders = route;
-      orders.name = "orders";
-      orders.path_prefix = "/order/";
-      orders.kind = RouteKind::kNonIdempotent;
-      deployment.routes = {route, orders};
-      deployment.services = {{"app", std::nullopt}};
-      return absl::StatusOr<Deployment>(std::move(deployment));
-    };
-    codec.worker = [](const ObjectRecord& record) {
-      // "ADDRESS DOMAIN STARTED_AT"
-      std::istringstream columns(record.bytes);
-      WorkerRegistration worker;
-      worker.id = UpstreamId{record.name};
-      worker.service = "app";
-      worker.slots = 6;
-      columns >> worker.address >> worker.domain.value >> worker.started_at;
-      return absl::StatusOr<WorkerRegistration>(std::move(worker));
-    };
-    codec.caller_metadata = [](const Headers& headers) {
-      CallerMetadata metadata;
-      metadata.request_id = *FindHeader(headers, "id");
-      return absl::StatusOr<CallerMetadata>(std::move(metadata));
-    };
-    codec.worker_headers = [](const Headers& headers, const WorkerMetadata&) {
-      return headers;
-    };
-    codec.worker_response = [](const Headers& headers) {
-      WorkerResponse response;
-      if (const std::string* id = FindHeader(headers, "id")) {
-        response.request_id = *id;
-        response.is_signed = true;
-      }
-      return response;
-    };
-    codec.caller_headers = [](const Headers& headers) { return headers; };
-    codec.report_call = [] {
-      HttpCall call;
-      call.url = "/report";
-      return call;
-    };
-    codec.report = [](const std::string&) -> absl::StatusOr<EngineReport> {
-      return EngineReport{};
-    };
-    return codec;
-  }
-
   void StartWorker(const std::string& address) {
     const std::string id = "worker-" + std::to_string(++this->last_worker);
     this->workers[address] = Worker{id, true, kNever, kNever, {}};
--- a/tests/hosts/worker_limits_test.cc
+++ b/tests/hosts/worker_limits_test.cc
@@ -3,9 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
-#include <memory>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -55,7 +53,8 @@
     Headers headers;
   };
 
-  explicit WorkerLimitFixture(std::size_t hosts) : group(Codec(), kDomains) {
+  explicit WorkerLimitFixture(std::size_t hosts)
+      : group(AppServiceCodec(), kDomains) {
     this->group.store.Write("deployments", "main", "1");
     this->group.on_step = [this] { this->Step(); };
     this->group.on_worker_call = [this](const std::string& host,
@@ -69,71 +68,13 @@
       const std::string address = "10.1.0." + std::to_string(i) + ":80";
       const std::string id = "worker-" + std::to_string(i);
       this->workers[address].id = id;
-      this->group.store.Write("workers", id,
-                              address + " " + std::to_string(i % kDomains));
+      this->group.store.Write(
+          "workers", id, address + " " + std::to_string(i % kDomains) + " 0");
     }
     this->group.AddHosts(hosts);
     this->group.Advance(seconds(8));
   }
 
-  static GatewayCodec Codec() {
-    GatewayCodec codec;
-    codec.deployment_kind = "deployments";
-    codec.deployment_name = "main";
-    codec.worker_kind = "workers";
-    codec.ready_path = "/ready";
-    codec.deployment = [](const ObjectRecord& record) {
-      Deployment deployment;
-      deployment.version = std::stoull(record.bytes);
-      ForwardingRoute route;
-      route.name = "lookups";
-      route.host = "fleet";
-      route.path_prefix = "/lookup/";
-      route.kind = RouteKind::kIdempotent;
-      route.services = {{"app", 1.0}};
-      route.timeout = seconds(4);
-      route.objective = milliseconds(250);
-      route.max_attempts = 2;
-      route.anonymous = true;
-      ForwardingRoute orders = route;
-      orders.name = "orders";
-      orders.path_prefix = "/order/";
-      orders.kind = RouteKind::kNonIdempotent;
-      deployment.routes = {route, orders};
-      deployment.services = {{"app", std::nullopt}};
-      return absl::StatusOr<Deployment>(std::move(deployment));
-    };
-    codec.worker = [](const ObjectRecord& record) {
-      // "ADDRESS DOMAIN"
-      std::istringstream columns(record.bytes);
-      WorkerRegistration worker;
-      worker.id = UpstreamId{record.name};
-      worker.service = "app";
-      worker.slots = 6;
-      columns >> worker.address >> worker.domain.value;
-      return absl::StatusOr<WorkerRegistration>(std::move(worker));
-    };
-    codec.caller_metadata = [](const Headers& headers) {
-      CallerMetadata metadata;
-      metadata.request_id = *FindHeader(headers, "id");
-      return absl::StatusOr<CallerMetadata>(std::move(metadata));
-    };
-    codec.worker_headers = [](const Headers& headers, const WorkerMetadata&) {
-      return headers;
-    };
-    codec.worker_response = [](const Headers& headers) {
-      WorkerResponse response;
-      response.request_id = *FindHeader(headers, "id");
-      response.is_signed = true;
-      if (const std::string* limit = FindHeader(headers, "limit")) {
-        response.request_limit = std::stod(*limit);
-      }
-      return response;
-    };
-    codec.caller_headers = [](const Headers& headers) { return headers; };
-    return codec;
-  }
-
   Worker& WorkerAt(std::size_t number) {
     return this->workers.at("10.1.0." + std::to_string(number) + ":80");
   }
