--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -98,7 +98,7 @@
 };
 
 /// @brief Returns what a request has in common with its repeats: a digest of
-/// method, target, caller and body, computed at the first call.
+/// method, target, caller, prompt parts and body, computed at the first call.
 const std::string& RequestIdentity(const ForwardedRequest& flow);
 
 /// @return whether a status says to callers that the request did not run
