--- a/src/quarantine/detail/input_quarantine.h
+++ b/src/quarantine/detail/input_quarantine.h
@@ -2,9 +2,11 @@
 /// @brief Finds inputs that end the workers which run them.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -157,12 +159,42 @@
     std::vector<Incarnation> workers;  ///< in order of their crashes
   };
 
+  using Crashes = std::map<Incarnation, Crash>;
+  /// @brief The crashes under one input, as evidence against it.
+  struct Candidate {
+    std::size_t crashes = 0;  ///< simultaneous ones count once
+    Instant counted_at{};
+    std::size_t all_crashes = 0;
+    std::uint32_t prior = 0;
+    std::uint32_t depth = 0;
+
+    /// Each was sent after those before, so these are not simultaneous. Some
+    /// of them may not count any more.
+    std::size_t Count() const {
+      return std::max(this->crashes, std::min<std::size_t>(this->prior + 1U,
+                                                           this->all_crashes));
+    }
+  };
+
   bool AddCrash(Instant now, const WorkerCrash& crash, bool noticed_here);
   bool AddSound(Instant now, const std::string& id, Instant at);
+  /// @brief Removes a crash.
+  /// @return the crash after it
+  Crashes::iterator EraseCrash(Crashes::iterator crash);
+  void AddToIndex(const std::string& id, const Incarnation& incarnation);
+  void EraseFromIndex(const std::string& id, const Incarnation& incarnation);
   void Expire(Instant now);
   /// @brief Evicts the oldest crash that no quarantined input explains.
   void EvictCrash();
   void UpdateVerdicts();
+  /// @brief Returns the crashes under an input, without those that a verdict
+  /// explains, in order of time.
+  std::vector<std::pair<Incarnation, const Crash*>> UnexplainedCrashes(
+      const std::string& id, const std::set<Incarnation>& explained) const;
+  /// @param times of all crashes that no verdict explains, in order
+  Candidate CountEvidence(const std::string& id,
+                          const std::set<Incarnation>& explained,
+                          const std::vector<Instant>& times) const;
   /// @return the quarantined input among those of the crash, or nullptr
   const std::string* Explanation(const Crash& crash) const;
   /// @brief Selects crashes under an input that suffice to quarantine it, or
@@ -174,7 +206,11 @@
                          const Crash& crash) const;
 
   QuarantineSettings settings;
-  std::map<Incarnation, Crash> crashes;
+  Crashes crashes;
+  /// The crashes under each input; no input has an empty set.
+  std::map<std::string, std::set<Incarnation>> crashes_by_input;
+  /// Inputs with enough crashes to be quarantined.
+  std::set<std::string> frequent_inputs;
   std::map<std::string, Instant> sound;  ///< latest time by part
   std::map<std::string, Verdict> verdicts;
 };
--- a/src/quarantine/input_quarantine.cc
+++ b/src/quarantine/input_quarantine.cc
@@ -19,10 +19,7 @@
 }
 
 bool InputQuarantine::RecordSound(Instant now, const std::string& id) {
-  const bool suspect = std::any_of(
-      this->crashes.begin(), this->crashes.end(),
-      [&id](const auto& entry) { return entry.second.inputs.count(id) > 0; });
-  if (!suspect) {
+  if (this->CountCrashes(id) == 0) {
     return false;
   }
   this->Expire(now);
@@ -76,6 +73,9 @@
   if (merged.inputs.empty()) {
     return false;
   }
+  for (const auto& [id, suspicion] : merged.inputs) {
+    this->AddToIndex(id, incarnation);
+  }
   this->crashes[incarnation] = std::move(merged);
   if (this->crashes.size() > this->settings.max_crashes) {
     this->UpdateVerdicts();
@@ -91,11 +91,19 @@
   const auto [entry, inserted] = this->sound.try_emplace(id, at);
   const bool is_newer = inserted || entry->second < at;
   entry->second = std::max(entry->second, at);
-  for (auto it = this->crashes.begin(); it != this->crashes.end();) {
-    if (it->second.at <= entry->second) {
-      it->second.inputs.erase(id);
+  if (const auto suspected = this->crashes_by_input.find(id);
+      suspected != this->crashes_by_input.end()) {
+    for (const Incarnation& each : std::set(suspected->second)) {
+      const auto crash = this->crashes.find(each);
+      if (crash->second.at > entry->second) {
+        continue;
+      }
+      crash->second.inputs.erase(id);
+      this->EraseFromIndex(id, each);
+      if (crash->second.inputs.empty()) {
+        this->crashes.erase(crash);
+      }
     }
-    it = it->second.inputs.empty() ? this->crashes.erase(it) : std::next(it);
   }
   if (this->sound.size() > this->settings.max_sound) {
     const auto oldest = std::min_element(
@@ -106,10 +114,39 @@
   return is_newer;
 }
 
+void InputQuarantine::AddToIndex(const std::string& id,
+                                 const Incarnation& incarnation) {
+  std::set<Incarnation>& under_input = this->crashes_by_input[id];
+  under_input.insert(incarnation);
+  if (under_input.size() >= this->settings.min_crashes) {
+    this->frequent_inputs.insert(id);
+  }
+}
+
+void InputQuarantine::EraseFromIndex(const std::string& id,
+                                     const Incarnation& incarnation) {
+  const auto found = this->crashes_by_input.find(id);
+  found->second.erase(incarnation);
+  if (found->second.size() < this->settings.min_crashes) {
+    this->frequent_inputs.erase(id);
+  }
+  if (found->second.empty()) {
+    this->crashes_by_input.erase(found);
+  }
+}
+
+InputQuarantine::Crashes::iterator InputQuarantine::EraseCrash(
+    Crashes::iterator crash) {
+  for (const auto& [id, suspicion] : crash->second.inputs) {
+    this->EraseFromIndex(id, crash->first);
+  }
+  return this->crashes.erase(crash);
+}
+
 void InputQuarantine::Expire(Instant now) {
   const Instant oldest = now - this->settings.retention;
   for (auto it = this->crashes.begin(); it != this->crashes.end();) {
-    it = it->second.at < oldest ? this->crashes.erase(it) : std::next(it);
+    it = it->second.at < oldest ? this->EraseCrash(it) : std::next(it);
   }
   for (auto it = this->sound.begin(); it != this->sound.end();) {
     it = it->second < oldest ? this->sound.erase(it) : std::next(it);
@@ -127,95 +164,99 @@
       victim = it;
     }
   }
-  this->crashes.erase(victim);
+  this->EraseCrash(victim);
 }
 
-void InputQuarantine::UpdateVerdicts() {
-  this->verdicts.clear();
+std::vector<
+    std::pair<InputQuarantine::Incarnation, const InputQuarantine::Crash*>>
+InputQuarantine::UnexplainedCrashes(
+    const std::string& id, const std::set<Incarnation>& explained) const {
   std::vector<std::pair<Incarnation, const Crash*>> unexplained;
-  for (const auto& [incarnation, crash] : this->crashes) {
-    unexplained.emplace_back(incarnation, &crash);
+  for (const Incarnation& each : this->crashes_by_input.at(id)) {
+    if (explained.count(each) == 0) {
+      unexplained.emplace_back(each, &this->crashes.at(each));
+    }
   }
-  std::sort(
+  std::stable_sort(
       unexplained.begin(), unexplained.end(),
       [](const auto& a, const auto& b) { return a.second->at < b.second->at; });
-  while (true) {
-    struct Candidate {
-      std::size_t crashes = 0;  ///< simultaneous ones count once
-      Instant counted_at{};
-      std::size_t all_crashes = 0;
-      std::uint32_t prior = 0;
-      std::uint32_t depth = 0;
+  return unexplained;
+}
 
-      /// Each was sent after those before, so these are not simultaneous. Some
-      /// of them may not count any more.
-      std::size_t Count() const {
-        return std::max(
-            this->crashes,
-            std::min<std::size_t>(this->prior + 1U, this->all_crashes));
-      }
-    };
+InputQuarantine::Candidate InputQuarantine::CountEvidence(
+    const std::string& id, const std::set<Incarnation>& explained,
+    const std::vector<Instant>& times) const {
+  const auto count_together = [this](const std::vector<Instant>& sorted,
+                                     Instant at) {
+    const Duration span = this->settings.together;
+    return std::upper_bound(sorted.begin(), sorted.end(), at + span) -
+           std::lower_bound(sorted.begin(), sorted.end(), at - span);
+  };
+  const auto crashes = this->UnexplainedCrashes(id, explained);
+  std::vector<Instant> own_times;
+  own_times.reserve(crashes.size());
+  for (const auto& [incarnation, crash] : crashes) {
+    own_times.push_back(crash->at);
+  }
+  Candidate candidate;
+  for (const auto& [incarnation, crash] : crashes) {
+    // Workers that end together without this input have another cause.
+    if (count_together(own_times, crash->at) <
+        count_together(times, crash->at)) {
+      continue;
+    }
+    const Suspicion& suspicion = crash->inputs.at(id);
+    candidate.depth = std::max(candidate.depth, suspicion.depth);
+    candidate.prior = std::max(candidate.prior, suspicion.prior);
+    ++candidate.all_crashes;
+    if (candidate.crashes == 0 ||
+        crash->at - candidate.counted_at >= this->settings.simultaneous) {
+      ++candidate.crashes;
+      candidate.counted_at = crash->at;
+    }
+  }
+  return candidate;
+}
+
+void InputQuarantine::UpdateVerdicts() {
+  this->verdicts.clear();
+  std::set<Incarnation> explained;
+  while (!this->frequent_inputs.empty()) {
     std::vector<Instant> times;
-    std::map<std::string, std::vector<Instant>> times_by_input;
-    for (const auto& [incarnation, crash] : unexplained) {
-      times.push_back(crash->at);
-      for (const auto& [id, suspicion] : crash->inputs) {
-        times_by_input[id].push_back(crash->at);
+    for (const auto& [incarnation, crash] : this->crashes) {
+      if (explained.count(incarnation) == 0) {
+        times.push_back(crash.at);
       }
     }
-    const auto count_together = [this](const std::vector<Instant>& sorted,
-                                       Instant at) {
-      const Duration span = this->settings.together;
-      return std::upper_bound(sorted.begin(), sorted.end(), at + span) -
-             std::lower_bound(sorted.begin(), sorted.end(), at - span);
-    };
-    std::map<std::string, Candidate> candidates;
-    for (const auto& [incarnation, crash] : unexplained) {
-      for (const auto& [id, suspicion] : crash->inputs) {
-        // Workers that end together without this input have another cause.
-        if (count_together(times_by_input[id], crash->at) <
-            count_together(times, crash->at)) {
-          continue;
-        }
-        Candidate& candidate = candidates[id];
-        candidate.depth = std::max(candidate.depth, suspicion.depth);
-        candidate.prior = std::max(candidate.prior, suspicion.prior);
-        ++candidate.all_crashes;
-        if (candidate.crashes == 0 ||
-            crash->at - candidate.counted_at >= this->settings.simultaneous) {
-          ++candidate.crashes;
-          candidate.counted_at = crash->at;
-        }
+    std::sort(times.begin(), times.end());
+    const std::string* most_id = nullptr;
+    Candidate most;
+    for (const std::string& id : this->frequent_inputs) {
+      const Candidate candidate = this->CountEvidence(id, explained, times);
+      if (std::pair(candidate.Count(), candidate.depth) >
+          std::pair(most.Count(), most.depth)) {
+        most_id = &id;
+        most = candidate;
       }
     }
-    const auto most = std::max_element(
-        candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-          return std::pair(a.second.Count(), a.second.depth) <
-                 std::pair(b.second.Count(), b.second.depth);
-        });
-    if (most == candidates.end() ||
-        most->second.Count() < this->settings.min_crashes) {
+    if (most_id == nullptr || most.Count() < this->settings.min_crashes) {
       return;
     }
-    Verdict& verdict = this->verdicts[most->first];
-    verdict.crashes = most->second.Count();
-    const auto explained = std::stable_partition(
-        unexplained.begin(), unexplained.end(), [&most](const auto& entry) {
-          return entry.second->inputs.count(most->first) == 0;
-        });
-    for (auto it = explained; it != unexplained.end(); ++it) {
-      verdict.workers.push_back(it->first);
-      verdict.last_crash = it->second->at;
+    Verdict& verdict = this->verdicts[*most_id];
+    verdict.crashes = most.Count();
+    for (const auto& [incarnation, crash] :
+         this->UnexplainedCrashes(*most_id, explained)) {
+      verdict.workers.push_back(incarnation);
+      verdict.last_crash = crash->at;
+      explained.insert(incarnation);
     }
-    unexplained.erase(explained, unexplained.end());
   }
 }
 
 const std::string* InputQuarantine::Explanation(const Crash& crash) const {
-  for (const auto& [id, suspicion] : crash.inputs) {
-    const auto verdict = this->verdicts.find(id);
-    if (verdict != this->verdicts.end()) {
-      return &verdict->first;
+  for (const auto& [id, verdict] : this->verdicts) {
+    if (crash.inputs.count(id) > 0) {
+      return &id;
     }
   }
   return nullptr;
@@ -379,9 +420,10 @@
 }
 
 std::uint32_t InputQuarantine::CountCrashes(const std::string& id) const {
-  return static_cast<std::uint32_t>(std::count_if(
-      this->crashes.begin(), this->crashes.end(),
-      [&id](const auto& each) { return each.second.inputs.count(id) > 0; }));
+  const auto found = this->crashes_by_input.find(id);
+  return found == this->crashes_by_input.end()
+             ? 0
+             : static_cast<std::uint32_t>(found->second.size());
 }
 
 bool InputQuarantine::HasCrash(const UpstreamId& worker,
