--- a/programs/limpet_entry/gateway_process.cc
+++ b/programs/limpet_entry/gateway_process.cc
@@ -44,6 +44,7 @@
   settings.region_of = node.region_of;
   settings.neighbour_address = node.neighbour_address;
   settings.seeds = node.seeds;
+  settings.relays_requests = !node.neighbour_address.empty();
   settings.limits = node.limits;
   settings.seed =
       (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
@@ -68,7 +69,7 @@
         writer(WriterSettings(this->node), std::cout),
         host(HostSettings(this->node), platform::PlatformCodec()),
         loop({this->node.callers_address, this->node.neighbour_address,
-              this->node.operators_address},
+              this->node.operators_address, this->node.neighbour_address},
              HooksOf(&this->host), this->Hooks()) {}
 
   int Run() {
--- a/src/discovery/detail/worker_directory.h
+++ b/src/discovery/detail/worker_directory.h
@@ -95,6 +95,9 @@
   std::vector<const WorkerRegistration*> AvailableWorkers(
       const std::string& service) const;
 
+  /// @return all workers, in order of their ids
+  std::vector<const WorkerRegistration*> AllWorkers() const;
+
   std::size_t Size() const { return this->workers.size(); }
 
  private:
--- a/src/discovery/worker_directory.cc
+++ b/src/discovery/worker_directory.cc
@@ -105,6 +105,14 @@
   return found == this->workers.end() ? nullptr : &found->second;
 }
 
+std::vector<const WorkerRegistration*> WorkerDirectory::AllWorkers() const {
+  std::vector<const WorkerRegistration*> all;
+  for (const auto& [id, worker] : this->workers) {
+    all.push_back(&worker);
+  }
+  return all;
+}
+
 std::vector<const WorkerRegistration*> WorkerDirectory::AvailableWorkers(
     const std::string& service) const {
   std::vector<const WorkerRegistration*> available;
--- a/src/entry/detail/host_metrics.h
+++ b/src/entry/detail/host_metrics.h
@@ -29,6 +29,7 @@
   kDocumentsApplied,
   kWorkerCrashes,
   kQuarantineRefusals,
+  kRelayedRequests,
   kCount,
 };
 
--- a/src/entry/host_metrics.cc
+++ b/src/entry/host_metrics.cc
@@ -43,6 +43,8 @@
         {"limpet_worker_crashes_total", "Workers that ended during a request."},
         {"limpet_quarantine_refusals_total",
          "Requests refused for a quarantined input."},
+        {"limpet_relayed_requests_total",
+         "Requests sent to their worker through another host."},
     }};
 
 constexpr std::array<MetricText, static_cast<std::size_t>(Timing::kCount)>
--- a/src/event_loop/call_client.cc
+++ b/src/event_loop/call_client.cc
@@ -79,7 +79,11 @@
   }
 
   /// @brief Connects without a call; the connection then becomes idle.
-  void Open() { this->Connect(kPreconnectTimeout); }
+  /// @param probe if set, HttpDone tells the result
+  void Open(CallId probe) {
+    this->probe = probe;
+    this->Connect(kPreconnectTimeout);
+  }
 
   void Pause(bool paused) {
     this->paused = paused;
@@ -166,6 +170,7 @@
           }
           self->usable_until = BootNow() + kDefaultKeepAlive;
           self->client->AddIdle(self);
+          self->ReportProbe(HttpEnd::kComplete);
         });
   }
 
@@ -297,9 +302,17 @@
     this->client->AddIdle(this->shared_from_this());
   }
 
+  void ReportProbe(HttpEnd end) {
+    const CallId reported = std::exchange(this->probe, CallId{});
+    if (reported.value != 0) {
+      this->client->EmitEvent(HttpDone{reported, end});
+    }
+  }
+
   void End(HttpEnd end) {
     const CallId finished = this->call;
     this->Close();
+    this->ReportProbe(HttpEnd::kNotConnected);
     if (finished.value != 0) {
       this->client->by_call.erase(finished.value);
       this->client->EmitEvent(HttpDone{finished, end});
@@ -316,6 +329,7 @@
   std::string output;
   std::optional<Parser> parser;
   CallId call;
+  CallId probe;  ///< of a connection that is opened without a call
   Instant usable_until{};
   std::uint64_t max_body = kMaxBody;
   int interim_responses = 0;  ///< to the current call
@@ -373,7 +387,7 @@
 }
 
 void CallClient::Execute(const HttpPreconnect& open) {
-  std::make_shared<CallConnection>(this, open.address)->Open();
+  std::make_shared<CallConnection>(this, open.address)->Open(open.id);
 }
 
 void CallClient::AddIdle(const Connection& connection) {
--- a/src/event_loop/caller_server.cc
+++ b/src/event_loop/caller_server.cc
@@ -209,7 +209,7 @@
     }
     event.headers = CopyHeaders(message);
     event.body = std::move(message.body());
-    event.for_operators = this->server->for_operators;
+    event.source = this->server->source;
     this->server->hooks.emit(std::move(event));
   }
 
@@ -335,11 +335,9 @@
   bool closed = false;
 };
 
-CallerServer::CallerServer(asio::io_context* context, bool for_operators,
+CallerServer::CallerServer(asio::io_context* context, RequestSource source,
                            CallerServerHooks hooks)
-    : for_operators(for_operators),
-      hooks(std::move(hooks)),
-      acceptor(*context) {}
+    : source(source), hooks(std::move(hooks)), acceptor(*context) {}
 
 CallerServer::~CallerServer() = default;
 
--- a/src/event_loop/detail/caller_server.h
+++ b/src/event_loop/detail/caller_server.h
@@ -29,7 +29,8 @@
 /// @brief Serves HTTP/1.1 at one address.
 class CallerServer {
  public:
-  CallerServer(asio::io_context* context, bool for_operators,
+  /// @param source of the requests that arrive at this server
+  CallerServer(asio::io_context* context, RequestSource source,
                CallerServerHooks hooks);
   ~CallerServer();
 
@@ -61,7 +62,7 @@
 
   void Accept();
 
-  bool for_operators;
+  RequestSource source;
   CallerServerHooks hooks;
   Tcp::acceptor acceptor;
   std::set<Connection> connections;
--- a/src/event_loop/detail/event_loop.h
+++ b/src/event_loop/detail/event_loop.h
@@ -17,7 +17,8 @@
 struct EventLoopSettings {
   std::string callers;     ///< "ip:port"; port 0 selects a free port
   std::string neighbours;  ///< "ip:port" for datagrams; empty disables them
-  std::string operators;   ///< "ip:port"; its requests have `for_operators` set
+  std::string operators;   ///< "ip:port"
+  std::string relays{};  ///< "ip:port" for requests of other hosts; empty: none
 };
 
 /// @brief Functions that the loop calls in the surrounding process.
@@ -80,6 +81,8 @@
   std::uint16_t CallersPort() const;
   /// @return the port on which the loop listens for operators
   std::uint16_t OperatorsPort() const;
+  /// @return the port on which the loop listens for other hosts
+  std::uint16_t RelaysPort() const;
 
  private:
   class Impl;
--- a/src/event_loop/event_loop.cc
+++ b/src/event_loop/event_loop.cc
@@ -25,6 +25,10 @@
 // Interval of the checks whether the last replies of a drained core have been
 // written.
 constexpr Duration kIdleCheck = std::chrono::milliseconds(5);
+// Headers that a host adds to a request which another host relays.
+constexpr std::uint64_t kRelayHeaderBytes = 4U << 10U;
+// Longer than the time for which a host keeps idle connections.
+constexpr Duration kRelayIdleTimeout = std::chrono::seconds(15);
 
 }  // namespace
 
@@ -42,8 +46,10 @@
       : settings(std::move(settings)),
         core(std::move(core)),
         hooks(std::move(hooks)),
-        callers(&this->context, false, this->ServerHooks()),
-        operators(&this->context, true, this->ServerHooks()),
+        callers(&this->context, RequestSource::kCaller, this->ServerHooks()),
+        operators(&this->context, RequestSource::kOperator,
+                  this->ServerHooks()),
+        relays(&this->context, RequestSource::kHost, this->RelayHooks()),
         client(&this->context,
                [this](Event event) { this->Post(std::move(event)); }),
         datagrams(&this->context,
@@ -59,6 +65,9 @@
     if (status.ok()) {
       status = this->operators.Listen(this->settings.operators);
     }
+    if (status.ok() && !this->settings.relays.empty()) {
+      status = this->relays.Listen(this->settings.relays);
+    }
     if (status.ok() && !this->settings.neighbours.empty()) {
       status = this->datagrams.Bind(this->settings.neighbours);
     }
@@ -81,6 +90,7 @@
 
   std::uint16_t CallersPort() const { return this->callers.Port(); }
   std::uint16_t OperatorsPort() const { return this->operators.Port(); }
+  std::uint16_t RelaysPort() const { return this->relays.Port(); }
 
  private:
   event_loop::CallerServerHooks ServerHooks() {
@@ -89,6 +99,19 @@
             [this] { return RequestId{++this->last_request}; }};
   }
 
+  /// @brief Requests of other hosts have the headers of the caller's and some
+  /// more, and their connections stay open between requests.
+  event_loop::CallerServerHooks RelayHooks() {
+    event_loop::CallerServerHooks relay_hooks = this->ServerHooks();
+    relay_hooks.http_limits = [this] {
+      HttpLimits limits = this->hooks.http_limits();
+      limits.header_bytes += kRelayHeaderBytes;
+      limits.idle_timeout = kRelayIdleTimeout;
+      return limits;
+    };
+    return relay_hooks;
+  }
+
   /// @brief Queues an event; the first event of a batch schedules the core.
   void Post(Event event) {
     this->queue.push_back(std::move(event));
@@ -113,6 +136,7 @@
       }
       this->callers.Flush();
       this->operators.Flush();
+      this->relays.Flush();
     } while (!this->queue.empty());
     this->scheduled = false;
     this->StopIfDrained();
@@ -148,8 +172,9 @@
     if (this->accepting && !this->hooks.accepts_callers()) {
       this->accepting = false;
       this->callers.StopAccepting();
+      this->relays.StopAccepting();
     }
-    if (this->core.drained() && this->callers.Idle()) {
+    if (this->core.drained() && this->callers.Idle() && this->relays.Idle()) {
       this->context.stop();
     }
   }
@@ -173,13 +198,16 @@
   }
 
   void ExecuteOne(const ReplyHead& head) {
-    this->callers.Execute(head) || this->operators.Execute(head);
+    this->callers.Execute(head) || this->operators.Execute(head) ||
+        this->relays.Execute(head);
   }
   void ExecuteOne(ReplyBody body) {
-    this->callers.Execute(&body) || this->operators.Execute(&body);
+    this->callers.Execute(&body) || this->operators.Execute(&body) ||
+        this->relays.Execute(&body);
   }
   void ExecuteOne(const ReplyEnd& end) {
-    this->callers.Execute(end) || this->operators.Execute(end);
+    this->callers.Execute(end) || this->operators.Execute(end) ||
+        this->relays.Execute(end);
   }
   void ExecuteOne(HttpCall call) { this->client.Execute(std::move(call)); }
   void ExecuteOne(const HttpCancel& cancel) { this->client.Execute(cancel); }
@@ -216,6 +244,7 @@
       const Instant now = BootNow();
       this->callers.Sweep(now);
       this->operators.Sweep(now);
+      this->relays.Sweep(now);
       this->client.Sweep(now);
       this->WaitForSweep();
     });
@@ -239,6 +268,7 @@
   std::deque<Event> queue;
   event_loop::CallerServer callers;
   event_loop::CallerServer operators;
+  event_loop::CallerServer relays;
   event_loop::CallClient client;
   event_loop::Datagrams datagrams;
   asio::steady_timer wakeup;
@@ -267,4 +297,6 @@
   return this->impl->OperatorsPort();
 }
 
+std::uint16_t EventLoop::RelaysPort() const { return this->impl->RelaysPort(); }
+
 }  // namespace limpetlink
--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,6 +20,8 @@
 struct Attempt {
   CallId call;
   UpstreamId worker;
+  std::optional<HostId> relay;  ///< host through which it is sent
+  bool refused_by_relay = false;
   Instant sent{};
   std::uint32_t prior_crashes = 0;  ///< under this request, known when sent
   int status = 0;                   ///< 0 until the response head has arrived
@@ -75,7 +78,8 @@
   std::optional<Instant> hedge_at;
   std::vector<Attempt> running;
   std::vector<UpstreamId> tried;
-  std::uint32_t attempts = 0;  ///< those without a connection included
+  std::set<HostId> refused_by;  ///< hosts that did not relay it
+  std::uint32_t attempts = 0;   ///< those without a connection included
   std::uint32_t connect_failures = 0;
   std::uint32_t possible_runs = 0;  ///< attempts that may have run
   bool delivering = false;  ///< the response head was sent to the caller
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -17,6 +17,7 @@
 #include "gateway/detail/codec.h"
 #include "gateway/detail/forwarded.h"
 #include "gateway/detail/settings.h"
+#include "gateway/detail/worker_paths.h"
 #include "limits/limits.h"
 #include "quarantine/quarantine.h"
 #include "retries/retries.h"
@@ -68,7 +69,8 @@
  public:
   Forwarding(const GatewaySettings& settings, const GatewayCodec& codec,
              ForwardingHooks hooks, const WorkerDirectory* directory,
-             InputQuarantine* quarantine, HostMetrics* metrics);
+             WorkerPaths* paths, InputQuarantine* quarantine,
+             HostMetrics* metrics);
 
   /// @brief Sends a request to a worker, or refuses it, at once.
   void OnRequest(Instant now, CallerRequest request);
@@ -94,6 +96,7 @@
 
   /// @brief Drops the load of a worker that terminated or restarted.
   void RemoveWorker(const UpstreamId& worker) {
+    this->paths->RemoveWorker(worker);
     this->loads.Remove(worker);
     this->allowances.Remove(worker);
     this->unreadable_limits.erase(worker);
@@ -111,6 +114,17 @@
   /// @return whether it changed
   bool ApplyLimit(Instant now, const LimitNotice& notice, LimitSource source);
 
+  /// @return whether this host may send requests to the worker now
+  bool MaySend(Instant now, const WorkerRegistration& worker) {
+    return this->allowances.MaySend(now, worker.id) &&
+           !this->hooks.is_evacuated(worker.domain);
+  }
+
+  /// @brief Handles what a response to a request that was sent at `sent` tells
+  /// about its worker.
+  void NoteResponse(Instant now, const UpstreamId& worker, Instant sent,
+                    int status, const WorkerResponse& response);
+
   /// @return what this host may send to the workers
   WorkerAllowances& Allowances() { return this->allowances; }
   const WorkerAllowances& Allowances() const { return this->allowances; }
@@ -179,6 +193,10 @@
   void RelayEvents(Instant now, ForwardedRequest* flow, Attempt* attempt,
                    std::string_view bytes);
   void EndAttempt(Instant now, std::uint64_t id, CallId call, AttemptEnd end);
+  /// @brief Lets a request that did not reach its worker be sent there again
+  /// by another way.
+  void NoteConnectFailure(Instant now, ForwardedRequest* flow,
+                          const Attempt& attempt);
   /// @brief Retries, delivers, refuses or aborts, as decided.
   void ProceedAfterAttempt(Instant now, std::uint64_t id,
                            const Attempt& attempt, AttemptEnd end);
@@ -200,9 +218,17 @@
   /// @brief Sends a hedged attempt if the only one has no response yet.
   void Hedge(Instant now, ForwardedRequest* flow);
   void ReplyProblem(Instant now, const RequestId& id, const Problem& problem);
-  HttpCall MakeWorkerCall(Instant now, const ForwardedRequest& flow,
-                          const Attempt& attempt, const std::string& address,
-                          std::optional<ResumePoint> resume) const;
+  /// @return the ways that a request may take to its worker
+  PathRequirements RequirementsOf(const ForwardedRequest& flow) const;
+  /// @brief Sends an attempt to its worker, by a way that is chosen here.
+  /// @return false if there is no way
+  bool SendAttempt(Instant now, const ForwardedRequest& flow, Attempt* attempt,
+                   std::optional<ResumePoint> resume);
+  /// @brief Sends a command or a poll to a worker.
+  /// @param call its `url` has path and query only
+  void SendCommand(Instant now, const UpstreamId& worker,
+                   const std::string& address, HttpCall call);
+  void CancelCall(CallId call);
   std::vector<LoadCandidate> Candidates(Instant now,
                                         const ForwardedRequest& flow);
   /// @brief Returns the refusal of a request that no worker may get now.
@@ -225,19 +251,19 @@
   void CheckForCrash(Instant now, ForwardedRequest* flow,
                      const Attempt& attempt, AttemptEnd end);
   void SendCrashCheck(Instant now, ReportCall check);
-  void HandleCrashCheck(Instant now, ReportCall call, HttpEnd end);
+  void HandleCrashCheck(Instant now, ReportCall call, const WorkerCallEnd& end);
   /// @brief Records that the request's run continued, if it did.
   void NoteSoundRun(Instant now, const ForwardedRequest& flow,
                     const Attempt& attempt, bool completed);
 
   // Migration; in forwarding_migration.cc.
-  HttpCall MakeReportCall(const WorkerRegistration& worker);
+  HttpCall MakeReportCall();
   void RequestReport(Instant now, const WorkerRegistration& worker,
                      ReportPurpose purpose, Instant noticed_at);
   /// @return number of engines in this failure domain
   std::size_t RequestLoadReports(Instant now);
   void HandleLoadReport(Instant now, const ReportCall& call);
-  bool OnMigrationDone(Instant now, const HttpDone& done);
+  bool OnMigrationDone(Instant now, CallId call, const WorkerCallEnd& end);
   bool OnMigrationHead(Instant now, const HttpHead& head);
   /// @brief Handles what every response of a worker may tell about it.
   void ApplyWorkerState(Instant now, const UpstreamId& worker, int status,
@@ -282,6 +308,7 @@
   const GatewayCodec& codec;
   ForwardingHooks hooks;
   const WorkerDirectory* directory;
+  WorkerPaths* paths;
   InputQuarantine* quarantine;
   HostMetrics* metrics;
   LoadTable loads;
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -11,6 +11,8 @@
 
 #include "gateway/detail/forwarding.h"
 #include "gateway/detail/quarantine_records.h"
+#include "gateway/detail/relay_server.h"
+#include "gateway/detail/worker_paths.h"
 #include "neighbours/neighbours.h"
 
 namespace limpetlink {
@@ -54,6 +56,9 @@
 
  private:
   NeighbourHooks MakeNeighbourHooks();
+  RelayServerHooks MakeRelayHooks();
+  /// @return what this host offers to others; nothing if it relays no requests
+  std::optional<RelayOffer> MakeRelayOffer() const;
   KindWatch MakeEvacuationWatch();
   void SetEvacuated(const FailureDomainId& domain, bool evacuated);
   /// @return a value in [0, 1) derived from the host id
@@ -98,7 +103,9 @@
   std::set<FailureDomainId> evacuated;
   InputQuarantine quarantine;
   QuarantineRecords quarantine_records;
+  WorkerPaths paths;
   Forwarding forwarding;
+  RelayServer relay_server;
   Neighbours neighbours;
   Actions actions;
   StoreMode logged_mode = StoreMode::kNormal;
--- a/src/gateway/detail/settings.h
+++ b/src/gateway/detail/settings.h
@@ -50,6 +50,9 @@
   MetadataStoreSettings store;
   std::string neighbour_address;   ///< "ip:port" for datagrams; empty: none
   std::vector<std::string> seeds;  ///< addresses of initial contact hosts
+  /// Relays requests of other hosts, which arrive at `neighbour_address`
+  /// over TCP.
+  bool relays_requests = false;
   GatewayLimits limits;
   std::uint64_t seed = 1;
 };
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -34,12 +34,13 @@
 
 Forwarding::Forwarding(const GatewaySettings& settings,
                        const GatewayCodec& codec, ForwardingHooks hooks,
-                       const WorkerDirectory* directory,
+                       const WorkerDirectory* directory, WorkerPaths* paths,
                        InputQuarantine* quarantine, HostMetrics* metrics)
     : settings(settings),
       codec(codec),
       hooks(std::move(hooks)),
       directory(directory),
+      paths(paths),
       quarantine(quarantine),
       metrics(metrics),
       loads(settings.seed),
@@ -102,6 +103,7 @@
   bool has_free_workers = false;
   bool has_workers = false;
   bool has_allowed_workers = false;
+  const PathRequirements requirements = this->RequirementsOf(flow);
   for (const WorkerRegistration* worker :
        this->directory->AvailableWorkers(flow.service)) {
     has_workers = true;
@@ -113,6 +115,10 @@
       problem.detail = "the workers of the service are evacuated";
       continue;
     }
+    if (!this->paths->CanReach(now, *worker, requirements)) {
+      problem.detail = "neither this host nor another one reaches the workers";
+      continue;
+    }
     const Instant end = this->allowances.HeldUntil(worker->id);
     if (end > now) {
       first_end = std::min(first_end, end);
@@ -287,15 +293,25 @@
          (flow.holder == nullptr || allows(flow.holder->regions));
 }
 
+PathRequirements Forwarding::RequirementsOf(
+    const ForwardedRequest& flow) const {
+  // After a failure another host's way is more likely to be sound.
+  return {flow.refused_by, flow.connect_failures > 0,
+          [this, &flow](const FailureDomainId& domain) {
+            return MayServe(flow, this->RegionOf(domain));
+          }};
+}
+
 std::vector<LoadCandidate> Forwarding::Candidates(
     Instant now, const ForwardedRequest& flow) {
   const ForwardingService* service = flow.table->FindService(flow.service);
   std::vector<LoadCandidate> candidates;
+  const PathRequirements requirements = this->RequirementsOf(flow);
   for (const WorkerRegistration* worker :
        this->directory->AvailableWorkers(flow.service)) {
-    if (!this->allowances.MaySend(now, worker->id) ||
-        this->hooks.is_evacuated(worker->domain) ||
-        !MayServe(flow, this->RegionOf(worker->domain))) {
+    if (!this->MaySend(now, *worker) ||
+        !MayServe(flow, this->RegionOf(worker->domain)) ||
+        !this->paths->CanReach(now, *worker, requirements)) {
       continue;
     }
     LoadCandidate candidate;
@@ -323,13 +339,18 @@
   return this->loads.Choose(now, candidates, flow.size);
 }
 
-HttpCall Forwarding::MakeWorkerCall(Instant now, const ForwardedRequest& flow,
-                                    const Attempt& attempt,
-                                    const std::string& address,
-                                    std::optional<ResumePoint> resume) const {
+bool Forwarding::SendAttempt(Instant now, const ForwardedRequest& flow,
+                             Attempt* attempt,
+                             std::optional<ResumePoint> resume) {
+  const WorkerRegistration& worker = *this->directory->Find(attempt->worker);
+  const std::optional<WorkerPath> path =
+      this->paths->Choose(now, worker, this->RequirementsOf(flow));
+  if (!path.has_value()) {
+    return false;
+  }
   WorkerMetadata metadata;
   metadata.time_left = std::max(Duration{0}, flow.deadline - now);
-  metadata.worker = attempt.worker;
+  metadata.worker = attempt->worker;
   metadata.resume = std::move(resume);
   if (flow.holder != nullptr) {
     metadata.organisation = flow.holder->organisation;
@@ -344,13 +365,25 @@
     metadata.priority = std::clamp(*flow.holder->priority, 0, kLowestPriority);
   }
   HttpCall call;
-  call.id = attempt.call;
+  attempt->call = this->hooks.next_call_id();
+  call.id = attempt->call;
   call.method = flow.request.method;
-  call.url = "http://" + address + flow.request.target;
   call.headers = this->codec.worker_headers(flow.request.headers, metadata);
   call.body = flow.request.body;
   call.connect_timeout = kConnectTimeout;
-  return call;
+  this->paths->Begin(worker, *path, WorkerCallKind::kRequest,
+                     flow.request.target, &call);
+  if (path->relay.has_value()) {
+    attempt->relay = path->relay->host;
+    this->metrics->Add(Counter::kRelayedRequests);
+  }
+  this->actions.emplace_back(std::move(call));
+  return true;
+}
+
+void Forwarding::CancelCall(CallId call) {
+  this->paths->OnCancel(call);
+  this->actions.emplace_back(HttpCancel{call});
 }
 
 bool Forwarding::Send(Instant now, ForwardedRequest* flow) {
@@ -358,17 +391,16 @@
   if (!choice.has_value()) {
     return false;
   }
-  const WorkerRegistration* worker = this->directory->Find(choice->worker);
   Attempt attempt;
-  attempt.call = this->hooks.next_call_id();
   attempt.worker = choice->worker;
   attempt.sent = now;
   if (this->quarantine->HasSuspects()) {
     attempt.prior_crashes =
         this->quarantine->CountCrashes(RequestIdentity(*flow));
   }
-  HttpCall call =
-      this->MakeWorkerCall(now, *flow, attempt, worker->address, std::nullopt);
+  if (!this->SendAttempt(now, *flow, &attempt, std::nullopt)) {
+    return false;
+  }
   ++flow->attempts;
   ++flow->possible_runs;
   flow->tried.push_back(choice->worker);
@@ -383,6 +415,7 @@
        {"route", flow->route->name},
        {"service", flow->service},
        {"worker", choice->worker.value},
+       {"relay", attempt.relay ? attempt.relay->value : "none"},
        {"send", std::to_string(flow->attempts)},
        {"expected_delay_ms", absl::StrCat(std::lround(choice->delay_ms))},
        {"prompt_tokens", std::to_string(flow->size.prompt_tokens)},
@@ -397,7 +430,6 @@
        {"configuration", std::to_string(flow->table->Contents().version)},
        {"configuration_age_ms", MillisecondsText(active.age)}});
   flow->running.push_back(std::move(attempt));
-  this->actions.emplace_back(std::move(call));
   const bool may_hedge =
       flow->Idempotent() && flow->possible_runs < flow->route->max_attempts;
   if (may_hedge) {
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -52,10 +52,24 @@
   this->RequestReport(now, worker, ReportPurpose::kMigrationPlan, noticed_at);
 }
 
-HttpCall Forwarding::MakeReportCall(const WorkerRegistration& worker) {
+void Forwarding::SendCommand(Instant now, const UpstreamId& worker,
+                             const std::string& address, HttpCall call) {
+  const WorkerRegistration* known = this->directory->Find(worker);
+  const std::string target = call.url;
+  if (known != nullptr && known->address == address) {
+    const std::optional<WorkerPath> path =
+        this->paths->Choose(now, *known, PathRequirements{});
+    this->paths->Begin(*known, path.value_or(WorkerPath{}),
+                       WorkerCallKind::kCommand, target, &call);
+  } else {
+    call.url = "http://" + address + target;  // it left, and still responds
+  }
+  this->actions.emplace_back(std::move(call));
+}
+
+HttpCall Forwarding::MakeReportCall() {
   HttpCall call = this->codec.report_call();
   call.id = this->hooks.next_call_id();
-  call.url = "http://" + worker.address + call.url;
   call.connect_timeout = kCommandConnectTimeout;
   call.total_timeout = kReportTimeout;
   call.max_body = kMaxReport;
@@ -64,10 +78,10 @@
 
 void Forwarding::RequestReport(Instant now, const WorkerRegistration& worker,
                                ReportPurpose purpose, Instant noticed_at) {
-  HttpCall call = this->MakeReportCall(worker);
+  HttpCall call = this->MakeReportCall();
   this->reports[call.id.value] = {worker, purpose, noticed_at, {}, 0, {}};
   this->allowances.RecordSend(now, worker.id);
-  this->actions.emplace_back(std::move(call));
+  this->SendCommand(now, worker.id, worker.address, std::move(call));
 }
 
 std::size_t Forwarding::RequestLoadReports(Instant now) {
@@ -95,6 +109,7 @@
       ++nearby;
       // A limited worker's allowance is for callers' requests.
       if (!has_pending_report(worker->id) &&
+          this->paths->Reachability().IsReachable(worker->id) &&
           this->allowances.MaySend(now, worker->id) &&
           !this->allowances.FleetRate(now, worker->id).has_value() &&
           !this->hooks.is_evacuated(worker->domain)) {
@@ -166,8 +181,9 @@
   return this->releases.count(chunk.id.value) > 0;
 }
 
-bool Forwarding::OnMigrationDone(Instant now, const HttpDone& done) {
-  if (const auto report = this->reports.find(done.id.value);
+bool Forwarding::OnMigrationDone(Instant now, CallId id,
+                                 const WorkerCallEnd& end) {
+  if (const auto report = this->reports.find(id.value);
       report != this->reports.end()) {
     ReportCall call = std::move(report->second);
     this->reports.erase(report);
@@ -179,25 +195,25 @@
         this->HandleStreamReport(now, call);
         break;
       case ReportPurpose::kCrashCheck:
-        this->HandleCrashCheck(now, std::move(call), done.end);
+        this->HandleCrashCheck(now, std::move(call), end);
         break;
     }
     return true;
   }
-  if (const auto found = this->flow_of_migration.find(done.id.value);
+  if (const auto found = this->flow_of_migration.find(id.value);
       found != this->flow_of_migration.end()) {
     ForwardedRequest& flow = this->flows.at(found->second);
     this->flow_of_migration.erase(found);
     flow.migration->call = CallId{};
     KvTransferResult result;
-    if (done.end == HttpEnd::kComplete) {
+    if (end.end == HttpEnd::kComplete) {
       result = this->codec.kv_transfer_result(flow.migration->status,
                                               flow.migration->body);
     }
     this->HandleTransferResult(now, &flow, result);
     return true;
   }
-  return this->releases.erase(done.id.value) > 0;
+  return this->releases.erase(id.value) > 0;
 }
 
 // ---- Planning ----
@@ -363,7 +379,6 @@
   HttpCall call = this->codec.kv_transfer_call(
       {flow->metadata.request_id, destination->address, final_part});
   call.id = this->hooks.next_call_id();
-  call.url = "http://" + migration.source_address + call.url;
   call.connect_timeout = kCommandConnectTimeout;
   call.total_timeout = kCommandTimeout;
   call.max_body = kMaxCommandResponse;
@@ -376,7 +391,8 @@
   ++migration.transfer_attempts;
   this->allowances.RecordSend(now, migration.source);
   this->flow_of_migration[call.id.value] = flow->request.id.value;
-  this->actions.emplace_back(std::move(call));
+  this->SendCommand(now, migration.source, migration.source_address,
+                    std::move(call));
   // A leaving worker closes its connection after each response. Opening the
   // next connection early avoids adding the connection setup time to the
   // handover pause.
@@ -504,9 +520,15 @@
   flow->events.DropPartial();
   Attempt attempt;
   attempt.resumed = true;
-  attempt.call = this->hooks.next_call_id();
   attempt.worker = target;
   attempt.sent = now;
+  if (!this->SendAttempt(
+          now, *flow, &attempt,
+          ResumePoint{migration.source_address, migration.handle, *last})) {
+    this->AbortStream(now, flow->request.id.value,
+                      "no host reaches the stream's next worker");
+    return;
+  }
   this->BudgetOf(flow->service).Spend(now);  // counts as a repeated request
   flow->size.prompt_tokens = 0;              // prefill is done
   this->allowances.RecordSend(now, target);
@@ -524,9 +546,6 @@
        {"since_notice_ms", MillisecondsText(now - migration.noticed_at)}});
   ++flow->migrations;
   this->metrics->Add(Counter::kStreamsResumed);
-  this->actions.emplace_back(this->MakeWorkerCall(
-      now, *flow, attempt, worker->address,
-      ResumePoint{migration.source_address, migration.handle, *last}));
   flow->running.push_back(std::move(attempt));
   if (migration.at_source) {
     this->RescheduleMigration(now, flow, migration);
@@ -557,19 +576,19 @@
   this->timers.erase({now, flow->request.id.value, TimerKind::kMigration});
   if (migration.call.value != 0) {
     this->flow_of_migration.erase(migration.call.value);
-    this->actions.emplace_back(HttpCancel{migration.call});
+    this->CancelCall(migration.call);
   }
   if (migration.handle.empty()) {
     return;
   }
   HttpCall call = this->codec.kv_release_call(migration.handle);
   call.id = this->hooks.next_call_id();
-  call.url = "http://" + migration.source_address + call.url;
   call.connect_timeout = kCommandConnectTimeout;
   call.total_timeout = kCommandTimeout;
   call.max_body = kMaxCommandResponse;
   this->releases.insert(call.id.value);
-  this->actions.emplace_back(std::move(call));
+  this->SendCommand(now, migration.source, migration.source_address,
+                    std::move(call));
 }
 
 }  // namespace limpetlink
--- a/src/gateway/forwarding_quarantine.cc
+++ b/src/gateway/forwarding_quarantine.cc
@@ -12,7 +12,7 @@
 constexpr Duration kFirstOutput = std::chrono::milliseconds(500);
 constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(1000);
 // The first call may use a connection that the crash has cut as well.
-constexpr std::uint32_t kMaxCrashChecks = 3;
+constexpr std::uint32_t kMaxCrashChecks = 4;
 
 constexpr const char* kIdentityPrefix = "request-";
 constexpr std::size_t kIdentityDigits = 16;
@@ -125,21 +125,33 @@
 }
 
 void Forwarding::SendCrashCheck(Instant now, ReportCall check) {
-  HttpCall call = this->MakeReportCall(check.worker);
+  HttpCall call = this->MakeReportCall();
   call.total_timeout = kCrashCheckTimeout;
   this->allowances.RecordSend(now, check.worker.id);
+  const WorkerRegistration worker = check.worker;
   this->reports[call.id.value] = std::move(check);
-  this->actions.emplace_back(std::move(call));
+  this->SendCommand(now, worker.id, worker.address, std::move(call));
 }
 
-void Forwarding::HandleCrashCheck(Instant now, ReportCall call, HttpEnd end) {
-  if (end == HttpEnd::kCut && call.status == 0 &&
-      ++call.suspect.checks < kMaxCrashChecks) {
+void Forwarding::HandleCrashCheck(Instant now, ReportCall call,
+                                  const WorkerCallEnd& end) {
+  const bool not_connected = end.end == HttpEnd::kNotConnected;
+  // This host may be the one that is cut off: another one asks the worker.
+  const bool may_be_alive =
+      not_connected &&
+      (end.refused_by_relay ||
+       (!end.relay.has_value() &&
+        this->paths->HasRelay(now, call.worker, PathRequirements{})));
+  const bool undecided =
+      may_be_alive || (end.end == HttpEnd::kCut && call.status == 0);
+  if (undecided && ++call.suspect.checks < kMaxCrashChecks) {
     this->SendCrashCheck(now, std::move(call));
     return;
   }
-  bool ended = end == HttpEnd::kNotConnected;
-  if (end == HttpEnd::kComplete) {
+  bool ended =
+      not_connected && !may_be_alive &&
+      (end.relay.has_value() || !this->paths->Reachability().IsCutOff());
+  if (end.end == HttpEnd::kComplete) {
     const absl::StatusOr<EngineReport> report = this->codec.report(call.body);
     ended = report.ok() && report->started_at.has_value() &&
             *report->started_at != call.worker.started_at;
@@ -164,7 +176,8 @@
             {{"worker", call.worker.id.value},
              {"request", call.suspect.request_id},
              {"inputs", absl::StrJoin(ids, ",")},
-             {"check", std::string(ToText(end))},
+             {"check", std::string(ToText(end.end))},
+             {"relay", end.relay ? end.relay->value : "none"},
              {"check_status", std::to_string(call.status)},
              {"noticed_ms_ago", MillisecondsText(now - call.noticed_at)}});
   if (!ended) {
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -46,7 +46,11 @@
 
 // ---- Responses ----
 
-bool Forwarding::OnHead(Instant now, const HttpHead& head) {
+bool Forwarding::OnHead(Instant now, const HttpHead& received) {
+  HttpHead head = received;
+  if (!this->paths->OnHead(&head)) {
+    return true;  // a relay's own; the end of the call tells what it means
+  }
   ForwardedRequest* flow = nullptr;
   Attempt* attempt = this->FindAttempt(head.id, &flow);
   if (attempt == nullptr) {
@@ -61,8 +65,8 @@
   if (attempt->response.load.has_value()) {
     this->loads.ApplyReport(now, attempt->worker, *attempt->response.load);
   }
-  this->ApplyWorkerState(now, attempt->worker, attempt->status,
-                         attempt->response);
+  this->NoteResponse(now, attempt->worker, attempt->sent, attempt->status,
+                     attempt->response);
   const bool success = head.status >= 200 && head.status < 300;
   const bool wrong_request =
       attempt->response.request_id != flow->metadata.request_id &&
@@ -71,16 +75,11 @@
       wrong_request ||
       (success && (!attempt->response.is_signed || attempt->response.encoded));
   if (malformed) {
-    this->actions.emplace_back(HttpCancel{head.id});
+    this->CancelCall(head.id);
     this->EndAttempt(now, flow->request.id.value, head.id,
                      AttemptEnd::kMalformed);
     return true;
   }
-  constexpr int kMisdirected = 421;  // another worker's response
-  if (head.status != kMisdirected) {
-    this->ReadLimit(now, attempt->worker, attempt->sent, attempt->response,
-                    LimitSource::kResponse);
-  }
   attempt->relaying = success && flow->Streaming();
   return true;
 }
@@ -101,6 +100,16 @@
   }
 }
 
+void Forwarding::NoteResponse(Instant now, const UpstreamId& worker,
+                              Instant sent, int status,
+                              const WorkerResponse& response) {
+  this->ApplyWorkerState(now, worker, status, response);
+  constexpr int kMisdirected = 421;  // another worker's response
+  if (status != kMisdirected) {
+    this->ReadLimit(now, worker, sent, response, LimitSource::kResponse);
+  }
+}
+
 void Forwarding::ReadLimit(Instant now, const UpstreamId& worker, Instant sent,
                            const WorkerResponse& response, LimitSource source) {
   const WorkerRegistration* known = this->directory->Find(worker);
@@ -148,6 +157,9 @@
 }
 
 bool Forwarding::OnChunk(Instant now, const HttpChunk& chunk) {
+  if (!this->paths->OnChunk(chunk)) {
+    return true;
+  }
   ForwardedRequest* flow = nullptr;
   Attempt* attempt = this->FindAttempt(chunk.id, &flow);
   if (attempt == nullptr) {
@@ -175,7 +187,7 @@
        {"worker", attempt->worker.value},
        {"bytes", std::to_string(attempt->body.size())},
        {"all_responses_bytes", std::to_string(this->buffered_responses)}});
-  this->actions.emplace_back(HttpCancel{attempt->call});
+  this->CancelCall(attempt->call);
   this->EndAttempt(now, flow->request.id.value, attempt->call,
                    AttemptEnd::kMalformed);
 }
@@ -223,7 +235,7 @@
   }
   if (!split.in_order) {
     this->metrics->Add(Counter::kFramesDropped);
-    this->actions.emplace_back(HttpCancel{attempt->call});
+    this->CancelCall(attempt->call);
     this->EndAttempt(now, id.value, attempt->call, AttemptEnd::kMalformed);
     return;
   }
@@ -250,12 +262,14 @@
 }
 
 bool Forwarding::OnDone(Instant now, const HttpDone& done) {
+  const WorkerCallEnd call_end = this->paths->OnDone(now, done);
   ForwardedRequest* flow = nullptr;
   Attempt* attempt = this->FindAttempt(done.id, &flow);
   if (attempt == nullptr) {
-    return this->OnMigrationDone(now, done);
+    return this->OnMigrationDone(now, done.id, call_end);
   }
-  const AttemptEnd end = this->Classify(*flow, *attempt, done.end);
+  attempt->refused_by_relay = call_end.refused_by_relay;
+  const AttemptEnd end = this->Classify(*flow, *attempt, call_end.end);
   this->EndAttempt(now, flow->request.id.value, done.id, end);
   return true;
 }
@@ -301,11 +315,15 @@
   const bool failed = end != AttemptEnd::kAnswered;
   const bool moving =
       flow.migration.has_value() && flow.migration->source == attempt.worker;
-  if (!moving) {  // a leaving worker hasn't failed
+  if (!moving && end == AttemptEnd::kCut && !attempt.relay.has_value()) {
+    this->paths->Suspect(now, attempt.worker);
+  }
+  // A leaving worker hasn't failed, nor has one that a relay did not ask.
+  if (!moving && !attempt.refused_by_relay) {
     this->loads.RecordAttempt(now, attempt.worker, failed, unusable);
   }
   if (end == AttemptEnd::kNotConnected) {
-    ++flow.connect_failures;
+    this->NoteConnectFailure(now, &flow, attempt);
   }
   if (end == AttemptEnd::kNotConnected || end == AttemptEnd::kRefused) {
     --flow.possible_runs;
@@ -323,6 +341,24 @@
   }
 }
 
+void Forwarding::NoteConnectFailure(Instant now, ForwardedRequest* flow,
+                                    const Attempt& attempt) {
+  ++flow->connect_failures;
+  if (attempt.refused_by_relay) {
+    flow->refused_by.insert(*attempt.relay);
+  }
+  const WorkerRegistration* worker = this->directory->Find(attempt.worker);
+  const bool has_other_way =
+      attempt.refused_by_relay ||
+      (!attempt.relay.has_value() && worker != nullptr &&
+       this->paths->HasRelay(now, *worker, this->RequirementsOf(*flow)));
+  if (has_other_way) {
+    flow->tried.erase(
+        std::remove(flow->tried.begin(), flow->tried.end(), attempt.worker),
+        flow->tried.end());
+  }
+}
+
 void Forwarding::ProceedAfterAttempt(Instant now, std::uint64_t id,
                                      const Attempt& attempt, AttemptEnd end) {
   ForwardedRequest& flow = this->flows.at(id);
@@ -350,6 +386,7 @@
     this->Log(LogLevel::kInfo, "attempt failed",
               {{"request", flow.metadata.request_id},
                {"worker", attempt.worker.value},
+               {"relay", attempt.relay ? attempt.relay->value : "none"},
                {"end", Text(ToText(end))},
                {"status", std::to_string(attempt.status)},
                {"answers", attempt.response.request_id},
@@ -500,13 +537,16 @@
 void Forwarding::CancelAttempts(Instant now, ForwardedRequest* flow,
                                 bool silent) {
   for (const Attempt& attempt : flow->running) {
-    this->actions.emplace_back(HttpCancel{attempt.call});
+    this->CancelCall(attempt.call);
     this->buffered_responses -= attempt.body.size();
     this->flow_of_call.erase(attempt.call.value);
     this->loads.End(now, attempt.worker, flow->size, attempt.status != 0);
     this->hooks.loads_changed(now);
     if (silent && attempt.status == 0) {
       this->loads.RecordAttempt(now, attempt.worker, true, true);
+      if (!attempt.relay.has_value()) {
+        this->paths->Suspect(now, attempt.worker);
+      }
     }
   }
   flow->running.clear();
@@ -550,6 +590,10 @@
                         flow->running.front().status == 0 &&
                         flow->possible_runs < flow->route->max_attempts &&
                         flow->deadline - now >= kMinTimeToSend;
+  if (flow->running.size() == 1 && flow->running.front().status == 0 &&
+      !flow->running.front().relay.has_value()) {
+    this->paths->Suspect(now, flow->running.front().worker);
+  }
   if (!eligible || this->CheckQuarantine(now, *flow).has_value() ||
       !this->ChooseWorker(now, *flow).has_value() ||
       !this->BudgetOf(flow->service).Spend(now)) {
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -33,6 +33,12 @@
   return watch.HasSnapshot() ? MillisecondsText(watch.Age(now)) : "none";
 }
 
+/// Differs between processes, and can't be guessed.
+std::string RelayToken(std::uint64_t seed) {
+  constexpr std::size_t kDigits = 16;
+  return Sha256Hex("relay " + std::to_string(seed)).substr(0, kDigits);
+}
+
 WatchRole RoleOf(std::optional<std::size_t> rank) {
   if (!rank.has_value()) {
     return WatchRole::kIndependent;
@@ -110,6 +116,9 @@
              this->Log(LogLevel::kWarning, "quarantine record failed",
                        {{"input", input}, {"reason", reason}});
            }}),
+      paths(this->settings, &this->directory,
+            {[this] { return CallId{++this->last_call}; },
+             [this](Instant now) { this->neighbours.OnGossipChanged(now); }}),
       forwarding(
           this->settings, this->codec,
           {[this](Instant now) {
@@ -140,7 +149,9 @@
            [this](const FailureDomainId& domain) {
              return this->evacuated.count(domain) > 0;
            }},
-          &this->directory, &this->quarantine, &this->metrics),
+          &this->directory, &this->paths, &this->quarantine, &this->metrics),
+      relay_server(RelayToken(this->settings.seed), &this->directory,
+                   &this->paths, this->MakeRelayHooks()),
       neighbours({this->settings.self, this->settings.failure_domain,
                   this->settings.neighbour_address, this->settings.seeds},
                  this->MakeNeighbourHooks()) {
@@ -245,32 +256,49 @@
 }
 
 Actions GatewayHost::Step(Instant now, const Event& event) {
+  this->relay_server.OnStep(now);
   if (const auto* request = std::get_if<CallerRequest>(&event)) {
-    if (request->for_operators) {
-      this->ServeOperator(now, *request);
-    } else {
-      this->forwarding.OnRequest(now, *request);
+    switch (request->source) {
+      case RequestSource::kCaller:
+        this->forwarding.OnRequest(now, *request);
+        break;
+      case RequestSource::kOperator:
+        this->ServeOperator(now, *request);
+        break;
+      case RequestSource::kHost:
+        this->relay_server.OnRequest(now, *request);
+        break;
     }
   } else if (const auto* disconnected =
                  std::get_if<CallerDisconnected>(&event)) {
-    this->forwarding.OnCallerDisconnected(now, *disconnected);
+    if (!this->relay_server.OnCallerDisconnected(*disconnected)) {
+      this->forwarding.OnCallerDisconnected(now, *disconnected);
+    }
   } else if (const auto* drained = std::get_if<CallerBufferDrained>(&event)) {
-    this->forwarding.OnCallerBufferDrained(now, *drained);
+    if (!this->relay_server.OnCallerBufferDrained(*drained)) {
+      this->forwarding.OnCallerBufferDrained(now, *drained);
+    }
   } else if (const auto* frame = std::get_if<PeerFrame>(&event)) {
     if (!this->neighbours.OnFrame(now, *frame)) {
       this->metrics.Add(Counter::kPeerFramesRefused);
     }
   } else if (const auto* head = std::get_if<HttpHead>(&event)) {
-    this->forwarding.OnHead(now, *head) || this->store.OnHead(now, *head);
+    this->relay_server.OnHead(now, *head) ||
+        this->forwarding.OnHead(now, *head) || this->store.OnHead(now, *head);
   } else if (const auto* chunk = std::get_if<HttpChunk>(&event)) {
-    this->forwarding.OnChunk(now, *chunk) || this->store.OnChunk(now, *chunk);
+    this->relay_server.OnChunk(*chunk) ||
+        this->forwarding.OnChunk(now, *chunk) ||
+        this->store.OnChunk(now, *chunk);
   } else if (const auto* done = std::get_if<HttpDone>(&event)) {
-    this->forwarding.OnDone(now, *done) || this->store.OnDone(now, *done);
+    this->paths.OnProbeDone(now, *done) ||
+        this->relay_server.OnDone(now, *done) ||
+        this->forwarding.OnDone(now, *done) || this->store.OnDone(now, *done);
   }
   return this->Collect(now);
 }
 
 Actions GatewayHost::Tick(Instant now) {
+  this->relay_server.OnStep(now);
   this->store.Tick(now);
   this->HandleStoreResults(now);
   for (KindWatch* watch : this->watches) {
@@ -278,6 +306,10 @@
   }
   this->directory.Tick(now);
   this->forwarding.Tick(now);
+  this->paths.Tick(now);
+  if (this->paths.Reachability().IsImpaired()) {
+    this->neighbours.RequestRelays(now);
+  }
   this->neighbours.Tick(now);
   if (std::optional<FleetMembers> members =
           this->neighbours.TakeChangedMembers()) {
@@ -294,6 +326,8 @@
 Actions GatewayHost::Drain(Instant now) {
   if (!this->drain_started.has_value()) {
     this->drain_started = now;
+    this->relay_server.Drain();
+    this->neighbours.OnGossipChanged(now);
     this->Log(
         LogLevel::kInfo, "shutdown began",
         {{"requests", std::to_string(this->forwarding.Open())},
@@ -523,9 +557,11 @@
     this->accepts_callers = since < kAcceptAfterDrain;
     if (since >= this->settings.limits.grace_period - kKillMargin) {
       this->forwarding.EndAll(now);
+      this->relay_server.EndAll();
       this->accepts_callers = false;
     }
-    this->ended = !this->accepts_callers && this->forwarding.Open() == 0;
+    this->ended = !this->accepts_callers && this->forwarding.Open() == 0 &&
+                  this->relay_server.InProgress() == 0;
   }
   const bool ready = this->Ready(now);
   if (ready != this->logged_ready) {
@@ -537,6 +573,7 @@
   Actions collected = std::exchange(this->actions, {});
   for (Actions more :
        {this->store.TakeActions(), this->forwarding.TakeActions(),
+        this->relay_server.TakeActions(), this->paths.TakeActions(),
         this->neighbours.TakeActions()}) {
     std::move(more.begin(), more.end(), std::back_inserter(collected));
   }
@@ -546,8 +583,9 @@
 Instant GatewayHost::NextWakeup() const {
   Instant next = std::min(
       {this->store.NextWakeup(), this->directory.NextWakeup(),
-       this->forwarding.NextWakeup(), this->neighbours.NextWakeup(),
-       this->quarantine_records.NextWakeup(), this->next_quarantine_update});
+       this->forwarding.NextWakeup(), this->paths.NextWakeup(),
+       this->neighbours.NextWakeup(), this->quarantine_records.NextWakeup(),
+       this->next_quarantine_update});
   for (const KindWatch* watch : this->watches) {
     next = std::min(next, watch->NextWakeup());
   }
--- a/src/gateway/gateway_neighbours.cc
+++ b/src/gateway/gateway_neighbours.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "gateway/detail/gateway_host.h"
 
 namespace limpetlink {
@@ -90,7 +92,27 @@
   };
   hooks.local_gossip = [this](Instant now, bool include_received) {
     return Gossip{this->quarantine.Export(now, include_received),
-                  this->forwarding.Allowances().Export(now, include_received)};
+                  this->forwarding.Allowances().Export(now, include_received),
+                  this->MakeRelayOffer()};
+  };
+  hooks.relay_offers = [this](Instant now) {
+    std::vector<RelayOffer> offers =
+        this->paths.Relays().Available(now, kMaxRelayOffers - 1);
+    offers.erase(std::remove_if(offers.begin(), offers.end(),
+                                [this](const RelayOffer& offer) {
+                                  return offer.domain !=
+                                         this->settings.failure_domain;
+                                }),
+                 offers.end());
+    if (std::optional<RelayOffer> own = this->MakeRelayOffer()) {
+      offers.push_back(*std::move(own));
+    }
+    return offers;
+  };
+  hooks.remote_relay_offer = [this](Instant now, const RelayOffer& offer) {
+    if (offer.host != this->settings.self) {
+      this->paths.Relays().Put(now, offer);
+    }
   };
   hooks.remote_gossip = [this](Instant now, const Gossip& gossip) {
     const bool is_new = this->quarantine.Merge(now, gossip.evidence);
@@ -112,6 +134,40 @@
   return hooks;
 }
 
+std::optional<RelayOffer> GatewayHost::MakeRelayOffer() const {
+  if (!this->settings.relays_requests) {
+    return std::nullopt;
+  }
+  const WorkerReachability& reachability = this->paths.Reachability();
+  RelayOffer offer{this->settings.self,
+                   this->settings.failure_domain,
+                   this->settings.neighbour_address,
+                   this->relay_server.Token(),
+                   reachability.IsCutOff() || this->drain_started.has_value(),
+                   static_cast<std::uint32_t>(this->relay_server.InProgress()),
+                   reachability.Unreachable()};
+  offer.unreachable.resize(
+      std::min(offer.unreachable.size(), kMaxUnreachableInOffer));
+  return offer;
+}
+
+RelayServerHooks GatewayHost::MakeRelayHooks() {
+  RelayServerHooks hooks;
+  hooks.next_call_id = [this] { return CallId{++this->last_call}; };
+  hooks.may_send = [this](Instant now, const WorkerRegistration& worker) {
+    return this->forwarding.MaySend(now, worker);
+  };
+  hooks.sent = [this](Instant now, const UpstreamId& worker) {
+    this->forwarding.Allowances().RecordSend(now, worker);
+  };
+  hooks.responded = [this](Instant now, const UpstreamId& worker, Instant sent,
+                           const HttpHead& head) {
+    this->forwarding.NoteResponse(now, worker, sent, head.status,
+                                  this->codec.worker_response(head.headers));
+  };
+  return hooks;
+}
+
 bool GatewayHost::ApplyLimits(Instant now,
                               const std::vector<LimitNotice>& limits) {
   bool changed = false;
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -42,6 +42,8 @@
   RequestId SendOperatorRequest(const std::string& method,
                                 const std::string& path,
                                 const std::string& body = "");
+  /// @brief Has this host relay a request of another host.
+  RequestId SendHostRequest(const std::string& path, Headers headers);
   void Disconnect(RequestId id);
 
   /// @brief Moves out the open calls to workers, except for report calls.
@@ -76,13 +78,21 @@
   /// @brief Sets the prompt size that callers claim from now on.
   static void SetPromptTokens(std::uint64_t tokens);
 
+  /// @brief Reports how many bytes of a reply its reader has not read yet.
+  void ReportBuffered(RequestId id, std::size_t bytes) {
+    this->Deliver(CallerBufferDrained{id, bytes});
+  }
+  void Deliver(const Event& event);
+  void Drain() { this->ApplyActions(this->host.Drain(this->now)); }
+
+  std::vector<HttpPause> pauses;
+
   /// @brief Delivers a message of another host.
   void ReceiveFromNeighbour(const NeighbourMessage& message);
 
  private:
   void ApplyActions(Actions actions);
   void RespondFromStore(const HttpCall& call);
-  void Deliver(const Event& event);
 
   std::uint64_t last_request = 0;
   std::uint64_t revision = 10;
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -13,6 +13,7 @@
 #include "discovery/discovery.h"
 #include "limits/limits.h"
 #include "quarantine/quarantine.h"
+#include "reachability/reachability.h"
 #include "routing/routing.h"
 
 namespace limpetlink {
@@ -57,13 +58,21 @@
 struct Gossip {
   CrashEvidence evidence;
   std::vector<LimitNotice> limits;  ///< the first kMaxLimitNotices are sent
+  /// Of the sender itself; only sent to hosts of its failure domain.
+  std::optional<RelayOffer> relay{};
 
-  bool Empty() const { return this->evidence.Empty() && this->limits.empty(); }
+  bool Empty() const {
+    return this->evidence.Empty() && this->limits.empty() &&
+           !this->relay.has_value();
+  }
 };
 
 /// Limit notices in a message, which has to fit a datagram.
 inline constexpr std::size_t kMaxLimitNotices = 32;
 
+/// Relay offers in a response to a request for them.
+inline constexpr std::size_t kMaxRelayOffers = 8;
+
 /// @brief The complete state of a host that its neighbours need. Each message
 /// replaces the previous one, so a lost datagram loses only its own update.
 struct NeighbourMessage {
@@ -98,6 +107,10 @@
   /// workers, whose registrations may have expired during an outage of the
   /// store.
   Duration removal_delay{0};
+  /// Whether the sender asks a host of another failure domain for hosts there
+  /// that relay requests. The message carries nothing else.
+  bool requests_relays = false;
+  std::vector<RelayOffer> relays;  ///< response to such a request
   /// Sent with the state of a host or domain, after a change and each second.
   Gossip gossip;
 };
--- a/src/neighbours/detail/neighbours.h
+++ b/src/neighbours/detail/neighbours.h
@@ -65,6 +65,10 @@
   /// Receives the gossip of another host.
   /// @return whether any of it is new here
   std::function<bool(Instant, const Gossip&)> remote_gossip;
+  /// Returns offers to relay requests, of this host and its neighbours.
+  std::function<std::vector<RelayOffer>(Instant)> relay_offers;
+  /// Receives the offer of another host.
+  std::function<void(Instant, const RelayOffer&)> remote_relay_offer;
   /// Called when no loads of a failure domain were received in time.
   std::function<void(const FailureDomainId&)> domain_lost;
 };
@@ -101,6 +105,10 @@
   /// @brief Asks one neighbour, a different one each time, for changes.
   void RequestChanges(Instant now, const MissingChanges& missing);
 
+  /// @brief Asks the contact hosts of other domains for hosts that relay
+  /// requests, at most once a second.
+  void RequestRelays(Instant now);
+
   /// @brief Tells the neighbours that a call to the metadata store failed,
   /// unless one of them has just told.
   void OnStoreFailure(Instant now);
@@ -198,6 +206,7 @@
   Instant next_gossip{};                      ///< to neighbours
   Instant next_domain_gossip{};               ///< to other domains
   std::optional<Instant> last_domain_gossip;  ///< from another domain
+  Instant next_relay_request{};
   Instant next_linearizable_reads = kNever;
   Instant next_changes = kNever;
   std::optional<Instant> first_message_at;  ///< of this process
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -227,6 +227,61 @@
   return limits;
 }
 
+Json EncodeUnreachable(const RelayOffer& offer) {
+  Json unreachable = Json::array();
+  for (const UpstreamId& worker : offer.unreachable) {
+    if (unreachable.size() < kMaxUnreachableInOffer) {
+      unreachable.push_back(worker.value);
+    }
+  }
+  return unreachable;
+}
+
+Json EncodeRelays(const std::vector<RelayOffer>& offers) {
+  Json rows = Json::array();
+  for (const RelayOffer& offer : offers) {
+    rows.push_back({offer.host.value, offer.domain.value, offer.address,
+                    offer.token, offer.cut_off, offer.in_progress,
+                    EncodeUnreachable(offer)});
+  }
+  return rows;
+}
+
+/// @brief Reads the last four columns of an offer.
+RelayOffer ReadRelay(const Json& row, std::size_t first, Reader* reader) {
+  RelayOffer offer;
+  offer.token = reader->Text(row[first]);
+  const Json& unreachable = row[first + 3];
+  reader->valid = reader->valid && row[first + 1].is_boolean() &&
+                  unreachable.is_array() &&
+                  unreachable.size() <= kMaxUnreachableInOffer;
+  if (!reader->valid) {
+    return offer;
+  }
+  offer.cut_off = row[first + 1].get<bool>();
+  offer.in_progress =
+      static_cast<std::uint32_t>(reader->Number(row[first + 2], kMaxRunning));
+  for (const Json& worker : unreachable) {
+    offer.unreachable.push_back(UpstreamId{reader->Text(worker)});
+  }
+  return offer;
+}
+
+std::vector<RelayOffer> ReadRelays(const Json& root, Reader* reader) {
+  std::vector<RelayOffer> offers;
+  for (const Json& row : reader->Rows(root, "relays", 7)) {
+    if (offers.size() == kMaxRelayOffers) {
+      break;
+    }
+    RelayOffer offer = ReadRelay(row, 3, reader);
+    offer.host.value = reader->Text(row[0]);
+    offer.domain.value = reader->Text(row[1]);
+    offer.address = reader->Text(row[2]);
+    offers.push_back(std::move(offer));
+  }
+  return offers;
+}
+
 }  // namespace
 
 std::string EncodeNeighbourMessage(const NeighbourMessage& message) {
@@ -283,6 +338,17 @@
   if (!message.gossip.limits.empty()) {
     root["limits"] = EncodeLimits(message.gossip.limits);
   }
+  if (const std::optional<RelayOffer>& relay = message.gossip.relay) {
+    // The message itself has the host, its domain and its address.
+    root["relay"] = {relay->token, relay->cut_off, relay->in_progress,
+                     EncodeUnreachable(*relay)};
+  }
+  if (message.requests_relays) {
+    root["asks_relays"] = true;
+  }
+  if (!message.relays.empty()) {
+    root["relays"] = EncodeRelays(message.relays);
+  }
   return EncodeCbor(root);
 }
 
@@ -363,6 +429,21 @@
   if (root.contains("limits")) {
     message.gossip.limits = ReadLimits(root, &reader);
   }
+  if (const auto found = root.find("relay"); found != root.end()) {
+    constexpr std::size_t kColumns = 4;
+    reader.valid =
+        reader.valid && found->is_array() && found->size() == kColumns;
+    if (reader.valid) {
+      message.gossip.relay = ReadRelay(*found, 0, &reader);
+      message.gossip.relay->host = message.host;
+      message.gossip.relay->domain = message.domain;
+      message.gossip.relay->address = message.address;
+    }
+  }
+  message.requests_relays = root.contains("asks_relays");
+  if (root.contains("relays")) {
+    message.relays = ReadRelays(root, &reader);
+  }
   if (!reader.valid) {
     return malformed;
   }
--- a/src/neighbours/neighbours.cc
+++ b/src/neighbours/neighbours.cc
@@ -33,6 +33,7 @@
 constexpr Duration kStoreFailureInterval = std::chrono::milliseconds(1000);
 // The hosts with the two lowest ids read the metadata store for the others.
 constexpr std::size_t kMaxReaderRank = 1;
+constexpr Duration kRelayRequestInterval = std::chrono::milliseconds(1000);
 
 std::int64_t InMilliseconds(Instant at) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -126,6 +127,15 @@
   for (const DomainContact& contact : message.contacts) {
     this->StoreContact(now, contact);
   }
+  if (message.requests_relays) {
+    NeighbourMessage response = this->MakeMessage(now, false);
+    response.relays = this->hooks.relay_offers(now);
+    this->SendTo(message.address, response);
+    return true;
+  }
+  for (const RelayOffer& offer : message.relays) {
+    this->hooks.remote_relay_offer(now, offer);
+  }
   if (message.domain_loads.has_value()) {
     this->HandleDomainLoads(now, message);
     return true;
@@ -177,6 +187,9 @@
   sender.address = message.address;
   sender.sequence = message.sequence;
   this->hooks.host_loads(now, message.host, message.worker_loads);
+  if (message.gossip.relay.has_value()) {
+    this->hooks.remote_relay_offer(now, *message.gossip.relay);
+  }
   if (this->hooks.remote_gossip(now, message.gossip)) {
     this->next_domain_gossip = now;
     this->next_domain_loads = std::min(this->next_domain_loads, now);
@@ -301,6 +314,18 @@
   this->SendTo(next->second.address, message);
 }
 
+void Neighbours::RequestRelays(Instant now) {
+  if (now < this->next_relay_request) {
+    return;
+  }
+  this->next_relay_request = now + kRelayRequestInterval;
+  NeighbourMessage message = this->MakeMessage(now, false);
+  message.requests_relays = true;
+  for (const auto& [domain, contact] : this->contacts) {
+    this->SendTo(contact.host.address, message);
+  }
+}
+
 void Neighbours::OnStoreFailure(Instant now) {
   const bool known = this->last_store_failure.has_value() &&
                      now - *this->last_store_failure < kStoreFailureInterval;
@@ -367,6 +392,7 @@
       DomainLoads{this->settings.domain, this->hooks.own_domain_loads()};
   message.leaving = this->LeavingWorkers(now, true);
   message.gossip = this->TakeDueGossip(now, &this->next_domain_gossip, true);
+  message.gossip.relay.reset();  // other domains ask for it
   for (const auto& [domain, contact] : this->contacts) {
     this->SendTo(contact.host.address, message);
   }
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -52,6 +52,13 @@
 
 // ---- Callers: events of the HTTP server adapter ----
 
+/// @brief At which of the host's addresses a request arrived.
+enum class RequestSource {
+  kCaller,
+  kOperator,
+  kHost,  ///< another host, which has this one relay it to a worker
+};
+
 /// @brief A complete request of a caller.
 struct CallerRequest {
   RequestId id;
@@ -65,7 +72,7 @@
   /// Path and query byte for byte as sent; empty if the adapter does not
   /// provide them.
   std::string target{};
-  bool for_operators = false;  ///< received at the operators' address
+  RequestSource source = RequestSource::kCaller;
 };
 
 /// @brief The caller closed its connection; further replies cannot reach it.
@@ -132,6 +139,9 @@
 /// ignore this; calls then open their own connections.
 struct HttpPreconnect {
   std::string address;  ///< "ip:port"
+  /// If set, HttpDone tells whether the connection was established: kComplete
+  /// or kNotConnected.
+  CallId id{};
 };
 
 /// @brief The status line and headers of a response arrived.
--- a/tests/hosts/gateway_group.h
+++ b/tests/hosts/gateway_group.h
@@ -27,7 +27,8 @@
     std::unique_ptr<GatewayHost> host;
     std::vector<std::pair<HttpCall, Instant>> store_calls;
     std::vector<PeerFrame> received;
-    bool is_cut_off = false;  ///< from the other hosts and the store
+    std::vector<Event> events;  ///< of calls between hosts
+    bool is_cut_off = false;    ///< from the other hosts and the store
   };
 
   GatewayGroup(GatewayCodec codec, std::size_t domains)
@@ -54,6 +55,7 @@
     settings.store.dialect = FakeStore::Dialect();
     settings.store.budget = {1000, 1000, 1000, 1000};
     settings.neighbour_address = name;
+    settings.relays_requests = true;
     settings.seeds = {HostName(0), HostName(1), HostName(2)};
     settings.seed = StableHash(name);
     settings.limits.retry_ratio = 0.2;
@@ -85,6 +87,9 @@
         for (const PeerFrame& frame : std::exchange(member.received, {})) {
           this->Deliver(name, frame);
         }
+        for (const Event& event : std::exchange(member.events, {})) {
+          this->Deliver(name, event);
+        }
         this->RespondFromStore(name, &member);
         if (member.host->NextWakeup() <= this->now) {
           this->Apply(name, member.host->Tick(this->now));
@@ -103,6 +108,10 @@
   /// Called with each call to a worker.
   std::function<void(const std::string& host, const HttpCall& call)>
       on_worker_call;
+  /// Returns whether a host can connect to a worker's address.
+  std::function<bool(const std::string& host, const std::string& address)>
+      can_connect = [](const std::string&, const std::string&) { return true; };
+  std::size_t calls_between_hosts = 0;
   std::function<void(const std::string& host, CallId id)> on_cancel =
       [](const std::string&, CallId) {};
   /// Called with each response to a caller: its head, body and end.
@@ -115,6 +124,8 @@
         if (call->url.rfind("http://store/", 0) == 0) {
           this->members.at(host).store_calls.emplace_back(std::move(*call),
                                                           this->now);
+        } else if (call->url.rfind("http://host-", 0) == 0) {
+          this->CallHost(host, *call);
         } else {
           this->on_worker_call(host, *call);
         }
@@ -122,15 +133,109 @@
         this->Cancel(host, cancel->id);
       } else if (auto* send = std::get_if<PeerSend>(&action)) {
         this->Send(host, std::move(*send));
+      } else if (const auto* open = std::get_if<HttpPreconnect>(&action)) {
+        this->Probe(host, *open);
       } else if (std::holds_alternative<ReplyHead>(action) ||
                  std::holds_alternative<ReplyBody>(action) ||
                  std::holds_alternative<ReplyEnd>(action)) {
-        this->on_reply(action);
+        if (!this->ReplyToHost(action)) {
+          this->on_reply(action);
+        }
+      }
+    }
+  }
+
+  struct HostCall {
+    std::string from;
+    CallId call;
+    std::string to;
+  };
+
+  /// Ids of requests between hosts start here, above those of the callers.
+  static constexpr std::uint64_t kFirstHostRequest = 1ULL << 40U;
+
+  void Queue(const std::string& host, Event event) {
+    const auto found = this->members.find(host);
+    if (found != this->members.end()) {
+      found->second.events.push_back(std::move(event));
+    }
+  }
+
+  void Probe(const std::string& host, const HttpPreconnect& open) {
+    if (open.id.value != 0) {
+      const bool connects = this->can_connect(host, open.address);
+      this->Queue(host, HttpDone{open.id, connects ? HttpEnd::kComplete
+                                                   : HttpEnd::kNotConnected});
+    }
+  }
+
+  void CallHost(const std::string& host, const HttpCall& call) {
+    const std::string rest = call.url.substr(std::string("http://").size());
+    const std::string to = rest.substr(0, rest.find('/'));
+    ++this->calls_between_hosts;
+    if (this->members.count(to) == 0 || this->members.at(to).is_cut_off ||
+        this->members.at(host).is_cut_off) {
+      this->Queue(host, HttpDone{call.id, HttpEnd::kNotConnected});
+      return;
+    }
+    CallerRequest request;
+    request.id = RequestId{kFirstHostRequest + ++this->last_host_request};
+    request.method = call.method;
+    request.target = rest.substr(rest.find('/'));
+    request.path = request.target;
+    request.headers = call.headers;
+    request.body = call.body;
+    request.source = RequestSource::kHost;
+    this->host_calls[request.id.value] = {host, call.id, to};
+    this->Queue(to, std::move(request));
+  }
+
+  /// @return whether the reply is to another host
+  bool ReplyToHost(const Action& action) {
+    if (const auto* head = std::get_if<ReplyHead>(&action)) {
+      const auto found = this->host_calls.find(head->id.value);
+      if (found == this->host_calls.end()) {
+        return head->id.value >= kFirstHostRequest;
       }
+      this->Queue(found->second.from,
+                  HttpHead{found->second.call, head->status, head->headers});
+      return true;
+    }
+    if (const auto* body = std::get_if<ReplyBody>(&action)) {
+      const auto found = this->host_calls.find(body->id.value);
+      if (found == this->host_calls.end()) {
+        return body->id.value >= kFirstHostRequest;
+      }
+      this->Queue(found->second.from,
+                  HttpChunk{found->second.call, body->bytes});
+      return true;
+    }
+    const auto& end = std::get<ReplyEnd>(action);
+    const auto found = this->host_calls.find(end.id.value);
+    if (found == this->host_calls.end()) {
+      return end.id.value >= kFirstHostRequest;
+    }
+    this->Queue(found->second.from,
+                HttpDone{found->second.call,
+                         end.abort ? HttpEnd::kCut : HttpEnd::kComplete});
+    this->host_calls.erase(found);
+    return true;
+  }
+
+  void CancelHostCall(const std::string& host, CallId id) {
+    const auto found = std::find_if(
+        this->host_calls.begin(), this->host_calls.end(), [&](const auto& e) {
+          return e.second.from == host && e.second.call == id;
+        });
+    if (found != this->host_calls.end()) {
+      this->Queue(found->second.to,
+                  CallerDisconnected{RequestId{found->first}});
+      this->host_calls.erase(found);
     }
   }
 
   void Cancel(const std::string& host, CallId id) {
+    this->CancelHostCall(host, id);
     std::vector<std::pair<HttpCall, Instant>>& calls =
         this->members.at(host).store_calls;
     calls.erase(
@@ -175,6 +280,8 @@
 
   GatewayCodec codec;
   std::size_t domains;
+  std::map<std::uint64_t, HostCall> host_calls;  ///< by the id of the request
+  std::uint64_t last_host_request = 0;
 };
 
 /// @brief The codec of a fleet with one application service, "app": lookups
