--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -107,6 +107,8 @@
   std::optional<Duration> retry_after;
   /// Requests per second that the worker takes from all hosts together.
   std::optional<double> request_limit;
+  /// Requests that it may turn away in a second before it ends; unset: any.
+  std::optional<double> max_rejections;
   bool limit_unreadable = false;  ///< it names a limit that is no number
 };
 
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -87,6 +87,8 @@
   void RequestChanges(Instant now, const MissingChanges& missing);
   /// @return whether a limit changed here
   bool ApplyLimits(Instant now, const std::vector<LimitNotice>& limits);
+  /// @return whether the room of a brittle worker changed here
+  bool ApplyRooms(Instant now, const std::vector<RoomNotice>& rooms);
   void Log(LogLevel level, std::string message, std::vector<LogField> fields);
 
   GatewaySettings settings;
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -45,7 +45,10 @@
       metrics(metrics),
       loads(settings.seed),
       random(settings.seed + 1),
-      allowances(settings.self, settings.failure_domain) {}
+      allowances(settings.self, settings.failure_domain, {},
+                 [this](const UpstreamId& worker) {
+                   return this->loads.DomainRequestsAt(worker);
+                 }) {}
 
 void Forwarding::Log(LogLevel level, std::string message,
                      std::vector<LogField> fields) {
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -105,8 +105,35 @@
                               const WorkerResponse& response) {
   this->ApplyWorkerState(now, worker, status, response);
   constexpr int kMisdirected = 421;  // another worker's response
-  if (status != kMisdirected) {
-    this->ReadLimit(now, worker, sent, response, LimitSource::kResponse);
+  if (status == kMisdirected) {
+    return;
+  }
+  this->ReadLimit(now, worker, sent, response, LimitSource::kResponse);
+  const WorkerRegistration* known = this->directory->Find(worker);
+  if (known == nullptr || response.request_id.empty()) {
+    return;
+  }
+  bool changed = this->allowances.NoteBrittleness(
+      now, {worker, known->started_at, known->domain, known->slots}, sent,
+      response.max_rejections);
+  if (changed) {
+    this->Log(
+        LogLevel::kInfo, "worker is brittle",
+        {{"worker", worker.value},
+         {"rejections_per_second", absl::StrCat(*response.max_rejections)},
+         {"slots", std::to_string(known->slots)}});
+  }
+  constexpr int kUnavailable = 503;
+  if (status == kUnavailable && response.not_run &&
+      this->allowances.NoteRefusal(now, worker)) {
+    this->Log(LogLevel::kInfo, "brittle worker refuses for want of room",
+              {{"worker", worker.value},
+               {"domain_requests",
+                std::to_string(this->loads.DomainRequestsAt(worker))}});
+    changed = true;
+  }
+  if (changed) {
+    this->hooks.limits_changed(now);
   }
 }
 
--- a/src/gateway/gateway_neighbours.cc
+++ b/src/gateway/gateway_neighbours.cc
@@ -91,9 +91,11 @@
                                               received.loads);
   };
   hooks.local_gossip = [this](Instant now, bool include_received) {
-    return Gossip{this->quarantine.Export(now, include_received),
-                  this->forwarding.Allowances().Export(now, include_received),
-                  this->MakeRelayOffer()};
+    return Gossip{
+        this->quarantine.Export(now, include_received),
+        this->forwarding.Allowances().Export(now, include_received),
+        this->forwarding.Allowances().ExportRooms(now, include_received),
+        this->MakeRelayOffer()};
   };
   hooks.relay_offers = [this](Instant now) {
     std::vector<RelayOffer> offers =
@@ -118,7 +120,8 @@
     const bool is_new = this->quarantine.Merge(now, gossip.evidence);
     this->quarantine_changed = this->quarantine_changed || is_new;
     const bool limits_changed = this->ApplyLimits(now, gossip.limits);
-    return is_new || limits_changed;
+    const bool rooms_changed = this->ApplyRooms(now, gossip.rooms);
+    return is_new || limits_changed || rooms_changed;
   };
   hooks.domain_lost = [this](const FailureDomainId& domain) {
     this->Log(LogLevel::kInfo, "failure domain silent",
@@ -134,6 +137,23 @@
   return hooks;
 }
 
+bool GatewayHost::ApplyRooms(Instant now,
+                             const std::vector<RoomNotice>& rooms) {
+  bool changed = false;
+  for (const RoomNotice& notice : rooms) {
+    const WorkerRegistration* known = this->directory.Find(notice.worker);
+    if (known != nullptr && known->started_at == notice.started_at) {
+      changed =
+          this->forwarding.Allowances().ApplyRoom(
+              now,
+              {notice.worker, known->started_at, known->domain, known->slots},
+              notice) ||
+          changed;
+    }
+  }
+  return changed;
+}
+
 std::optional<RelayOffer> GatewayHost::MakeRelayOffer() const {
   if (!this->settings.relays_requests) {
     return std::nullopt;
--- a/src/limits/detail/worker_allowances.h
+++ b/src/limits/detail/worker_allowances.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,6 +33,24 @@
   Duration heard_age{0};  ///< since its response head arrived
 };
 
+/// @brief One incarnation of a worker that may be brittle.
+struct WorkerRoom {
+  UpstreamId worker;
+  std::int64_t started_at = 0;  ///< Unix milliseconds, from its registration
+  FailureDomainId domain;
+  std::uint32_t slots = 0;  ///< requests that it processes at once
+};
+
+/// @brief The room of a brittle worker: one that ends when it has to turn away
+/// many requests in a second for want of room.
+struct RoomNotice {
+  UpstreamId worker;
+  std::int64_t started_at = 0;  ///< Unix milliseconds; the incarnation
+  double room = 0;  ///< requests in progress from all hosts, when last refused
+  std::optional<Duration> refused_age;  ///< since it last refused one
+  Duration heard_age{0};                ///< since it last said that it is so
+};
+
 /// @brief A worker whose requests are limited.
 struct LimitedWorker {
   UpstreamId worker;
@@ -55,6 +74,16 @@
   Duration ramp_doubling{std::chrono::seconds(1)};
   /// Requests of a share's time that may be sent at once.
   Duration burst{std::chrono::milliseconds(250)};
+  /// A brittle worker gets nothing for this long after it refused a request;
+  /// its room then grows again, up to its slots.
+  Duration refusal_hold{std::chrono::milliseconds(300)};
+  double room_per_second = 0.5;
+  /// A worker that tolerates fewer refusals a second gets only this part of its
+  /// slots, as hosts learn late what others have sent.
+  double few_rejections = 3;
+  double cautious_share = 0.75;
+  /// Time without a response that says so until a worker is not brittle.
+  Duration brittle_lifetime{std::chrono::seconds(6)};
   /// Notices of other hosts appear later than they are by their time in
   /// transit.
   Duration transit{std::chrono::milliseconds(50)};
@@ -77,8 +106,11 @@
 /// @endcode
 class WorkerAllowances {
  public:
-  WorkerAllowances(HostId self, FailureDomainId domain,
-                   AllowanceSettings settings = {});
+  /// @param in_progress returns the requests of the hosts of this failure
+  /// domain at a worker
+  WorkerAllowances(
+      HostId self, FailureDomainId domain, AllowanceSettings settings = {},
+      std::function<std::uint32_t(const UpstreamId&)> in_progress = {});
 
   /// @brief Replaces the known members; they determine this host's shares.
   void SetMembers(Instant now, FleetMembers members);
@@ -95,6 +127,27 @@
   bool Apply(Instant now, const LimitNotice& notice,
              const FailureDomainId& domain, bool heard_here);
 
+  /// @brief Notes that a worker said it is brittle, or that it did not.
+  /// @param sent_at when the request was sent that it responded to
+  /// @param max_rejections that it tolerates in a second; unset: any
+  /// @return whether other hosts need to know
+  bool NoteBrittleness(Instant now, const WorkerRoom& worker, Instant sent_at,
+                       std::optional<double> max_rejections);
+
+  /// @brief Notes that a worker refused a request of this host for want of
+  /// room.
+  /// @return whether other hosts need to know
+  bool NoteRefusal(Instant now, const UpstreamId& worker);
+
+  /// @brief Applies what another host knows of a brittle worker.
+  /// @return whether it is new
+  bool ApplyRoom(Instant now, const WorkerRoom& worker,
+                 const RoomNotice& notice);
+
+  /// @brief Returns the rooms of brittle workers that other hosts need.
+  /// @param include_received also returns those that other hosts heard
+  std::vector<RoomNotice> ExportRooms(Instant now, bool include_received) const;
+
   /// @brief Sends nothing to the worker before an instant.
   void Hold(const UpstreamId& worker, Instant until);
   /// @return the end of the worker's pause; past if there is none
@@ -138,6 +191,27 @@
     Instant refilled{};
   };
 
+  struct Room {
+    WorkerRoom worker;
+    double room = 0;      ///< when it last refused a request
+    double max_room = 0;  ///< while it is brittle
+    std::optional<Instant> refused_at;
+    Instant heard_at{};
+    bool heard_here = false;
+  };
+
+  /// @brief The part of a number of requests that belongs to this domain.
+  struct DomainPart {
+    std::size_t domains = 0;  ///< that have a part
+    std::size_t quota = 0;    ///< of this domain
+  };
+
+  DomainPart DomainPartOf(const UpstreamId& worker,
+                          const FailureDomainId& worker_domain,
+                          std::size_t requests) const;
+  /// @return the requests that all hosts may have at the brittle worker
+  double RoomAt(Instant now, const Room& room) const;
+  bool HasRoom(Instant now, const UpstreamId& worker) const;
   std::optional<double> RateOf(Instant now, const Entry& entry) const;
   /// @return this host's part of a rate; 0 if others send
   double ShareOf(const UpstreamId& worker, const Entry& entry,
@@ -148,7 +222,9 @@
   FailureDomainId domain;
   AllowanceSettings settings;
   FleetMembers members;
+  std::function<std::uint32_t(const UpstreamId&)> in_progress;
   std::map<UpstreamId, Entry> entries;
+  std::map<UpstreamId, Room> rooms;  ///< of brittle workers
   std::map<UpstreamId, Instant> held_until;
 };
 
--- a/src/limits/tests/worker_allowances_test.cc
+++ b/src/limits/tests/worker_allowances_test.cc
@@ -166,5 +166,84 @@
   CHECK(this->hosts[0].MaySend(this->now, this->worker));
 }
 
+class BrittleWorkerFixture {
+ public:
+  BrittleWorkerFixture() {
+    this->allowances.SetMembers(
+        this->now, {{HostId{"a"}, HostId{"b"}},
+                    {FailureDomainId{"near"}, FailureDomainId{"far"}}});
+  }
+
+  bool Note(std::optional<double> max_rejections) {
+    return this->allowances.NoteBrittleness(this->now, this->worker, this->now,
+                                            max_rejections);
+  }
+
+  /// @return requests that this host's domain may have at the worker
+  std::uint32_t Room() {
+    for (this->in_progress = 0; this->in_progress < 100; ++this->in_progress) {
+      if (!this->allowances.MaySend(this->now, this->worker.worker)) {
+        break;
+      }
+    }
+    return this->in_progress;
+  }
+
+  std::uint32_t in_progress = 0;
+  WorkerRoom worker{UpstreamId{"w"}, 7, FailureDomainId{"near"}, 9};
+  WorkerAllowances allowances{
+      HostId{"a"}, FailureDomainId{"near"}, {}, [this](const UpstreamId&) {
+        return this->in_progress;
+      }};
+  Instant now{std::chrono::seconds(100)};
+};
+
+TEST_CASE_METHOD(BrittleWorkerFixture,
+                 "brittle worker, gets no more requests than it has slots, of "
+                 "which each domain has its part",
+                 "[limits]") {
+  CHECK(this->Room() == 100);
+  CHECK(this->Note(5));
+  CHECK(this->Room() == 5);  // of 9, and the other domain has 4
+  CHECK_FALSE(this->Note(5));
+  this->Note(0);
+  CHECK(this->Room() == 3);  // of 6
+  this->now += std::chrono::milliseconds(10);
+  this->Note(std::nullopt);
+  CHECK(this->Room() == 100);
+}
+
+TEST_CASE_METHOD(BrittleWorkerFixture,
+                 "brittle worker, refuses a request, gets none for a while and "
+                 "then more by little",
+                 "[limits]") {
+  this->Note(5);
+  CHECK(this->allowances.NoteRefusal(this->now, this->worker.worker));
+  CHECK(this->Room() == 0);
+  this->now += std::chrono::milliseconds(310);
+  CHECK(this->Room() == 4);  // of 8
+  this->now += std::chrono::seconds(2);
+  this->Note(5);
+  CHECK(this->Room() == 5);  // of 9
+}
+
+TEST_CASE_METHOD(BrittleWorkerFixture,
+                 "brittle worker, another host hears of a refusal, sends "
+                 "nothing either",
+                 "[limits]") {
+  this->Note(5);
+  this->allowances.NoteRefusal(this->now, this->worker.worker);
+  WorkerAllowances other(HostId{"b"}, FailureDomainId{"far"}, {},
+                         [](const UpstreamId&) { return 0U; });
+  for (const RoomNotice& notice :
+       this->allowances.ExportRooms(this->now, false)) {
+    CHECK(other.ApplyRoom(this->now, this->worker, notice));
+    CHECK_FALSE(other.ApplyRoom(this->now, this->worker, notice));
+  }
+  CHECK_FALSE(other.MaySend(this->now, this->worker.worker));
+  this->now += std::chrono::seconds(7);  // nothing more was heard
+  CHECK(other.MaySend(this->now, this->worker.worker));
+}
+
 }  // namespace
 }  // namespace limpetlink
--- a/src/limits/worker_allowances.cc
+++ b/src/limits/worker_allowances.cc
@@ -16,12 +16,14 @@
 
 }  // namespace
 
-WorkerAllowances::WorkerAllowances(HostId self, FailureDomainId domain,
-                                   AllowanceSettings settings)
+WorkerAllowances::WorkerAllowances(
+    HostId self, FailureDomainId domain, AllowanceSettings settings,
+    std::function<std::uint32_t(const UpstreamId&)> in_progress)
     : self(std::move(self)),
       domain(std::move(domain)),
       settings(settings),
-      members{{this->self}, {this->domain}} {}
+      members{{this->self}, {this->domain}},
+      in_progress(std::move(in_progress)) {}
 
 void WorkerAllowances::SetMembers(Instant now, FleetMembers members) {
   if (this->members == members) {
@@ -77,6 +79,129 @@
   return changed;
 }
 
+bool WorkerAllowances::NoteBrittleness(Instant now, const WorkerRoom& worker,
+                                       Instant sent_at,
+                                       std::optional<double> max_rejections) {
+  const auto found = this->rooms.find(worker.worker);
+  if (!max_rejections.has_value()) {
+    if (found != this->rooms.end() && sent_at > found->second.heard_at) {
+      this->rooms.erase(found);
+    }
+    return false;  // others find out likewise
+  }
+  const bool is_new = found == this->rooms.end() ||
+                      found->second.worker.started_at != worker.started_at ||
+                      !found->second.heard_here;
+  Room& room = this->rooms[worker.worker];
+  if (is_new) {
+    room = found == this->rooms.end() ? Room{} : room;
+    room.worker = worker;
+  }
+  const bool is_cautious = *max_rejections < this->settings.few_rejections;
+  room.max_room = std::max(
+      1.0, std::floor((is_cautious ? this->settings.cautious_share : 1.0) *
+                      static_cast<double>(worker.slots)));
+  room.heard_at = now;
+  room.heard_here = true;
+  return is_new;
+}
+
+bool WorkerAllowances::NoteRefusal(Instant now, const UpstreamId& worker) {
+  const auto found = this->rooms.find(worker);
+  if (found == this->rooms.end()) {
+    return false;
+  }
+  Room& room = found->second;
+  const double before = room.refused_at.has_value() ? room.room : room.max_room;
+  // Refusals that follow each other closely have one cause.
+  const bool is_first = !room.refused_at.has_value() ||
+                        now - *room.refused_at >= this->settings.refusal_hold;
+  room.room = std::max(
+      1.0, is_first ? std::floor(this->RoomAt(now, room)) - 1 : before);
+  room.refused_at = now;
+  return true;
+}
+
+bool WorkerAllowances::ApplyRoom(Instant now, const WorkerRoom& worker,
+                                 const RoomNotice& notice) {
+  const Instant heard_at = now - notice.heard_age;
+  if (notice.heard_age >= this->settings.brittle_lifetime) {
+    return false;
+  }
+  const auto found = this->rooms.find(notice.worker);
+  const bool is_new = found == this->rooms.end() ||
+                      found->second.worker.started_at != notice.started_at;
+  Room& room = this->rooms[notice.worker];
+  if (is_new) {
+    room = Room{};
+    room.worker = worker;
+    room.max_room = std::max(1.0, static_cast<double>(worker.slots));
+  }
+  room.heard_at = std::max(room.heard_at, heard_at);
+  if (!notice.refused_age.has_value()) {
+    return is_new;
+  }
+  const Instant refused_at = now - *notice.refused_age;
+  const bool is_later = !room.refused_at.has_value() ||
+                        refused_at > *room.refused_at + this->settings.transit;
+  if (is_later) {
+    room.refused_at = refused_at;
+    room.room = std::clamp(notice.room, 1.0, std::max(1.0, room.max_room));
+  }
+  return is_new || is_later;
+}
+
+double WorkerAllowances::RoomAt(Instant now, const Room& room) const {
+  if (!room.refused_at.has_value()) {
+    return room.max_room;
+  }
+  const Duration since = now - *room.refused_at - this->settings.refusal_hold;
+  if (since < Duration{0}) {
+    return 0;
+  }
+  return std::min(
+      room.max_room,
+      room.room + ToSeconds(since) * this->settings.room_per_second);
+}
+
+bool WorkerAllowances::HasRoom(Instant now, const UpstreamId& worker) const {
+  const auto found = this->rooms.find(worker);
+  if (found == this->rooms.end() || !this->in_progress ||
+      now - found->second.heard_at >= this->settings.brittle_lifetime) {
+    return true;
+  }
+  // What other domains have sent is known too late, so each has a part of the
+  // room.
+  const Room& room = found->second;
+  const auto whole = static_cast<std::size_t>(this->RoomAt(now, room));
+  return this->in_progress(worker) <
+         this->DomainPartOf(worker, room.worker.domain, whole).quota;
+}
+
+std::vector<RoomNotice> WorkerAllowances::ExportRooms(
+    Instant now, bool include_received) const {
+  std::vector<RoomNotice> notices;
+  for (const auto& [worker, room] : this->rooms) {
+    const Duration age = now - room.heard_at;
+    if (age >= this->settings.brittle_lifetime ||
+        !(room.heard_here || include_received)) {
+      continue;
+    }
+    RoomNotice notice{worker, room.worker.started_at, room.room, std::nullopt,
+                      age};
+    if (room.refused_at.has_value()) {
+      notice.refused_age = now - *room.refused_at;
+    }
+    notices.push_back(std::move(notice));
+  }
+  std::sort(notices.begin(), notices.end(),
+            [](const RoomNotice& a, const RoomNotice& b) {
+              return a.refused_age.value_or(Duration::max()) <
+                     b.refused_age.value_or(Duration::max());
+            });
+  return notices;
+}
+
 void WorkerAllowances::Hold(const UpstreamId& worker, Instant until) {
   Instant& end = this->held_until[worker];
   end = std::max(end, until);
@@ -100,27 +225,36 @@
          std::exp2(ToSeconds(since) / ToSeconds(this->settings.ramp_doubling));
 }
 
-double WorkerAllowances::ShareOf(const UpstreamId& worker, const Entry& entry,
-                                 double rate) const {
-  const auto senders = static_cast<std::size_t>(
-      std::min(this->settings.min_senders +
-                   std::floor(this->settings.senders_per_rate * rate),
-               1e6));
+WorkerAllowances::DomainPart WorkerAllowances::DomainPartOf(
+    const UpstreamId& worker, const FailureDomainId& worker_domain,
+    std::size_t requests) const {
   // The worker's own domain comes first, the others in the order of a hash.
   const auto rank = [&](const FailureDomainId& each) {
-    return std::pair(each != entry.domain, OrderOf(worker, each.value));
+    return std::pair(each != worker_domain, OrderOf(worker, each.value));
   };
-  const std::size_t domain_index = static_cast<std::size_t>(
+  const std::size_t index = static_cast<std::size_t>(
       std::count_if(this->members.domains.begin(), this->members.domains.end(),
                     [&](const FailureDomainId& each) {
                       return rank(each) < rank(this->domain);
                     }));
-  const std::size_t domains = std::min(this->members.domains.size(), senders);
-  if (domain_index >= domains) {
+  const std::size_t domains = std::min(this->members.domains.size(), requests);
+  if (index >= domains) {
+    return {domains, 0};
+  }
+  return {domains, requests / domains + (index < requests % domains ? 1 : 0)};
+}
+
+double WorkerAllowances::ShareOf(const UpstreamId& worker, const Entry& entry,
+                                 double rate) const {
+  const auto senders = static_cast<std::size_t>(
+      std::min(this->settings.min_senders +
+                   std::floor(this->settings.senders_per_rate * rate),
+               1e6));
+  const auto [domains, quota] =
+      this->DomainPartOf(worker, entry.domain, senders);
+  if (quota == 0) {
     return 0;
   }
-  const std::size_t quota =
-      senders / domains + (domain_index < senders % domains ? 1 : 0);
   const std::size_t hosts = std::min(this->members.hosts.size(), quota);
   const std::uint64_t own_order = OrderOf(worker, this->self.value);
   const std::size_t host_index = static_cast<std::size_t>(
@@ -146,7 +280,7 @@
 }
 
 bool WorkerAllowances::MaySend(Instant now, const UpstreamId& worker) {
-  if (this->HeldUntil(worker) > now) {
+  if (this->HeldUntil(worker) > now || !this->HasRoom(now, worker)) {
     return false;
   }
   const auto found = this->entries.find(worker);
@@ -210,6 +344,7 @@
 void WorkerAllowances::Remove(const UpstreamId& worker) {
   this->entries.erase(worker);
   this->held_until.erase(worker);
+  this->rooms.erase(worker);
 }
 
 }  // namespace limpetlink
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -57,13 +57,14 @@
 /// arrive late, repeatedly and in any order.
 struct Gossip {
   CrashEvidence evidence;
-  std::vector<LimitNotice> limits;  ///< the first kMaxLimitNotices are sent
+  std::vector<LimitNotice> limits{};  ///< the first kMaxLimitNotices are sent
+  std::vector<RoomNotice> rooms{};  ///< the first kMaxLimitNotices are sent
   /// Of the sender itself; only sent to hosts of its failure domain.
   std::optional<RelayOffer> relay{};
 
   bool Empty() const {
     return this->evidence.Empty() && this->limits.empty() &&
-           !this->relay.has_value();
+           this->rooms.empty() && !this->relay.has_value();
   }
 };
 
--- a/src/neighbours/message.cc
+++ b/src/neighbours/message.cc
@@ -227,6 +227,46 @@
   return limits;
 }
 
+Json EncodeRooms(const std::vector<RoomNotice>& rooms) {
+  Json rows = Json::array();
+  for (const RoomNotice& room : rooms) {
+    if (rows.size() == kMaxLimitNotices) {
+      break;
+    }
+    rows.push_back(
+        {room.worker.value, room.started_at,
+         static_cast<std::uint64_t>(std::lround(std::max(0.0, room.room))),
+         room.refused_age.has_value(),
+         InMilliseconds(room.refused_age.value_or(Duration{0})),
+         InMilliseconds(room.heard_age)});
+  }
+  return rows;
+}
+
+std::vector<RoomNotice> ReadRooms(const Json& root, Reader* reader) {
+  std::vector<RoomNotice> rooms;
+  for (const Json& row : reader->Rows(root, "rooms", 6)) {
+    reader->valid =
+        reader->valid && row[1].is_number_integer() && row[3].is_boolean();
+    if (!reader->valid) {
+      break;
+    }
+    RoomNotice room;
+    room.worker.value = reader->Text(row[0]);
+    room.started_at = row[1].get<std::int64_t>();
+    room.room = static_cast<double>(reader->Number(row[2], kMaxRunning));
+    const std::chrono::milliseconds refused_age(
+        reader->Number(row[4], kMaxNoticeAgeMs));
+    if (row[3].get<bool>()) {
+      room.refused_age = refused_age;
+    }
+    room.heard_age =
+        std::chrono::milliseconds(reader->Number(row[5], kMaxNoticeAgeMs));
+    rooms.push_back(std::move(room));
+  }
+  return rooms;
+}
+
 Json EncodeUnreachable(const RelayOffer& offer) {
   Json unreachable = Json::array();
   for (const UpstreamId& worker : offer.unreachable) {
@@ -338,6 +378,9 @@
   if (!message.gossip.limits.empty()) {
     root["limits"] = EncodeLimits(message.gossip.limits);
   }
+  if (!message.gossip.rooms.empty()) {
+    root["rooms"] = EncodeRooms(message.gossip.rooms);
+  }
   if (const std::optional<RelayOffer>& relay = message.gossip.relay) {
     // The message itself has the host, its domain and its address.
     root["relay"] = {relay->token, relay->cut_off, relay->in_progress,
@@ -429,6 +472,9 @@
   if (root.contains("limits")) {
     message.gossip.limits = ReadLimits(root, &reader);
   }
+  if (root.contains("rooms")) {
+    message.gossip.rooms = ReadRooms(root, &reader);
+  }
   if (const auto found = root.find("relay"); found != root.end()) {
     constexpr std::size_t kColumns = 4;
     reader.valid =
--- a/src/routing/detail/load_table.h
+++ b/src/routing/detail/load_table.h
@@ -93,6 +93,10 @@
   /// @return the loads of this host and of all advertising hosts, summed
   std::vector<WorkerLoad> DomainLoads() const;
 
+  /// @return the requests at a worker of this host and of the advertising hosts
+  /// of its failure domain
+  std::uint32_t DomainRequestsAt(const UpstreamId& worker) const;
+
   /// @brief Records the first byte of a response.
   void RecordFirstByte(const UpstreamId& worker, const RequestSize& size);
 
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -201,6 +201,17 @@
   return loads;
 }
 
+std::uint32_t LoadTable::DomainRequestsAt(const UpstreamId& worker) const {
+  const auto own = this->entries.find(worker);
+  std::uint32_t requests = own == this->entries.end() ? 0 : own->second.running;
+  for (const auto& [host, loads] : this->loads_by_host) {
+    if (const auto found = loads.find(worker); found != loads.end()) {
+      requests += found->second.running;
+    }
+  }
+  return requests;
+}
+
 WorkerLoad LoadTable::OtherHostsLoadAt(const UpstreamId& worker) const {
   const auto found = this->other_hosts.find(worker);
   return found == this->other_hosts.end() ? WorkerLoad{} : found->second;
--- a/tests/hosts/gateway_group.h
+++ b/tests/hosts/gateway_group.h
@@ -288,7 +288,9 @@
 /// below /lookup/ may be repeated, orders below /order/ may not.
 ///
 /// A worker's registration is "ADDRESS DOMAIN STARTED_AT". A response has the
-/// id of its request in "id", and may name a limit in "limit".
+/// id of its request in "id", and may name a limit in "limit", a pause in
+/// "pause-ms", that it was not run in "not-run", and the rejections that it
+/// tolerates in "brittle".
 inline GatewayCodec AppServiceCodec() {
   GatewayCodec codec;
   codec.deployment_kind = "deployments";
@@ -340,6 +342,13 @@
       response.request_id = *id;
       response.is_signed = true;
     }
+    response.not_run = FindHeader(headers, "not-run") != nullptr;
+    if (const std::string* pause = FindHeader(headers, "pause-ms")) {
+      response.retry_after = std::chrono::milliseconds(std::stoul(*pause));
+    }
+    if (const std::string* rejections = FindHeader(headers, "brittle")) {
+      response.max_rejections = std::stod(*rejections);
+    }
     if (const std::string* limit = FindHeader(headers, "limit")) {
       response.request_limit = std::stod(*limit);
     }
