--- a/src/gateway/tests/gateway_fixture.cc
+++ b/src/gateway/tests/gateway_fixture.cc
@@ -241,6 +241,8 @@
   for (Action& action : actions) {
     if (auto* call = std::get_if<HttpCall>(&action)) {
       const bool to_store = call->url.rfind("http://store/", 0) == 0;
+      const std::string rest = call->url.substr(std::string("http://").size());
+      ++this->calls_to[rest.substr(0, rest.find('/'))];
       (to_store ? this->store_calls : this->calls).push_back(std::move(*call));
     } else if (auto* cancel = std::get_if<HttpCancel>(&action)) {
       this->cancelled.push_back(cancel->id.value);
@@ -387,6 +389,11 @@
   return taken;
 }
 
+std::vector<HttpCall> GatewayFixture::TakeReports() {
+  std::vector<HttpCall> commands = this->TakeCalls();
+  return std::exchange(this->calls, std::move(commands));
+}
+
 HttpCall GatewayFixture::Call() {
   std::vector<HttpCall> taken = this->TakeCalls();
   REQUIRE(taken.size() == 1);
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -48,6 +48,8 @@
 
   /// @brief Moves out the open calls to workers, except for report calls.
   std::vector<HttpCall> TakeCalls();
+  /// @brief Moves out the open calls for reports.
+  std::vector<HttpCall> TakeReports();
   /// @brief Moves out the only open call.
   HttpCall Call();
   /// @brief Moves out the latest open call whose URL ends with a path.
@@ -86,6 +88,7 @@
   void Drain() { this->ApplyActions(this->host.Drain(this->now)); }
 
   std::vector<HttpPause> pauses;
+  std::map<std::string, std::size_t> calls_to;  ///< all calls, by address
 
   /// @brief Delivers a message of another host.
   void ReceiveFromNeighbour(const NeighbourMessage& message);
