--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -120,6 +120,11 @@
            !this->hooks.is_evacuated(worker.domain);
   }
 
+  /// @return whether this host may send commands to the worker now
+  bool MaySendCommand(Instant now, const UpstreamId& worker) const {
+    return this->allowances.MaySendCommand(now, worker);
+  }
+
   /// @brief Handles what a response to a request that was sent at `sent` tells
   /// about its worker.
   void NoteResponse(Instant now, const UpstreamId& worker, Instant sent,
@@ -224,7 +229,8 @@
   /// @return false if there is no way
   bool SendAttempt(Instant now, const ForwardedRequest& flow, Attempt* attempt,
                    std::optional<ResumePoint> resume);
-  /// @brief Sends a command or a poll to a worker.
+  /// @brief Sends a command or a poll to a worker. In a pause of the worker,
+  /// WorkerAllowances::MaySendCommand() has to be asked before.
   /// @param call its `url` has path and query only
   void SendCommand(Instant now, const UpstreamId& worker,
                    const std::string& address, HttpCall call);
--- a/src/gateway/detail/relay_server.h
+++ b/src/gateway/detail/relay_server.h
@@ -21,7 +21,9 @@
   std::function<CallId()> next_call_id;
   /// Returns whether this host may send a request to the worker now.
   std::function<bool(Instant, const WorkerRegistration&)> may_send;
-  /// Called when a request is sent to the worker.
+  /// Returns whether this host may send a command to the worker now.
+  std::function<bool(Instant, const UpstreamId&)> may_send_command;
+  /// Called when a request or command is sent to the worker.
   std::function<void(Instant, const UpstreamId&)> sent;
   /// Called with each response head of a worker to a request, and when that
   /// was sent.
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -54,6 +54,7 @@
 
 void Forwarding::SendCommand(Instant now, const UpstreamId& worker,
                              const std::string& address, HttpCall call) {
+  this->allowances.RecordSend(now, worker);
   const WorkerRegistration* known = this->directory->Find(worker);
   const std::string target = call.url;
   if (known != nullptr && known->address == address) {
@@ -78,9 +79,13 @@
 
 void Forwarding::RequestReport(Instant now, const WorkerRegistration& worker,
                                ReportPurpose purpose, Instant noticed_at) {
+  if (!this->allowances.MaySendCommand(now, worker.id)) {
+    // The streams that this host knows of are planned without a report.
+    this->HandleStreamReport(now, {worker, purpose, noticed_at, {}, 0, {}});
+    return;
+  }
   HttpCall call = this->MakeReportCall();
   this->reports[call.id.value] = {worker, purpose, noticed_at, {}, 0, {}};
-  this->allowances.RecordSend(now, worker.id);
   this->SendCommand(now, worker.id, worker.address, std::move(call));
 }
 
@@ -365,6 +370,11 @@
 void Forwarding::StartKvTransfer(Instant now, ForwardedRequest* flow,
                                  bool final_part) {
   StreamMigration& migration = *flow->migration;
+  if (!this->allowances.MaySendCommand(now, migration.source)) {
+    this->RetryMigration(now, flow,
+                         this->allowances.HeldUntil(migration.source) - now);
+    return;
+  }
   if (!final_part && !this->ChooseDestination(now, flow)) {
     migration.refused.clear();
     this->RetryMigration(now, flow, kNoCapacityDelay);
@@ -389,7 +399,6 @@
   migration.body.clear();
   migration.command_sent_at = now;
   ++migration.transfer_attempts;
-  this->allowances.RecordSend(now, migration.source);
   this->flow_of_migration[call.id.value] = flow->request.id.value;
   this->SendCommand(now, migration.source, migration.source_address,
                     std::move(call));
@@ -506,6 +515,11 @@
       migration.at_source ? migration.source : migration.destination;
   const WorkerRegistration* worker = this->directory->Find(target);
   const std::optional<std::uint64_t> last = flow->events.LastId();
+  if (!this->allowances.MaySendCommand(now, target)) {
+    this->AbortStream(now, flow->request.id.value,
+                      "the stream's next worker requested a pause");
+    return;
+  }
   if (worker == nullptr || migration.handle.empty() || !last.has_value()) {
     this->AbortStream(
         now, flow->request.id.value,
@@ -578,7 +592,9 @@
     this->flow_of_migration.erase(migration.call.value);
     this->CancelCall(migration.call);
   }
-  if (migration.handle.empty()) {
+  // Without the command the worker frees the copy by itself after a while.
+  if (migration.handle.empty() ||
+      !this->allowances.MaySendCommand(now, migration.source)) {
     return;
   }
   HttpCall call = this->codec.kv_release_call(migration.handle);
--- a/src/gateway/forwarding_quarantine.cc
+++ b/src/gateway/forwarding_quarantine.cc
@@ -125,9 +125,14 @@
 }
 
 void Forwarding::SendCrashCheck(Instant now, ReportCall check) {
+  if (!this->allowances.MaySendCommand(now, check.worker.id)) {
+    this->Log(LogLevel::kInfo, "worker not asked in its pause",
+              {{"worker", check.worker.id.value},
+               {"request", check.suspect.request_id}});
+    return;
+  }
   HttpCall call = this->MakeReportCall();
   call.total_timeout = kCrashCheckTimeout;
-  this->allowances.RecordSend(now, check.worker.id);
   const WorkerRegistration worker = check.worker;
   this->reports[call.id.value] = std::move(check);
   this->SendCommand(now, worker.id, worker.address, std::move(call));
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -93,7 +93,7 @@
                 {{"worker", worker.value},
                  {"pause_ms", MillisecondsText(*response.retry_after)}});
     }
-    this->allowances.Hold(worker, now + *response.retry_after);
+    this->allowances.Hold(now, worker, now + *response.retry_after);
   }
   if (response.leaving) {
     this->hooks.worker_leaving(now, worker);
--- a/src/gateway/gateway_neighbours.cc
+++ b/src/gateway/gateway_neighbours.cc
@@ -177,6 +177,9 @@
   hooks.may_send = [this](Instant now, const WorkerRegistration& worker) {
     return this->forwarding.MaySend(now, worker);
   };
+  hooks.may_send_command = [this](Instant now, const UpstreamId& worker) {
+    return this->forwarding.MaySendCommand(now, worker);
+  };
   hooks.sent = [this](Instant now, const UpstreamId& worker) {
     this->forwarding.Allowances().RecordSend(now, worker);
   };
--- a/src/gateway/relay_server.cc
+++ b/src/gateway/relay_server.cc
@@ -54,7 +54,10 @@
   }
   const bool is_command =
       kind != nullptr && *kind == ToText(WorkerCallKind::kCommand);
-  if (!is_command && (worker->leaving || !this->hooks.may_send(now, *worker))) {
+  const bool may_send =
+      is_command ? this->hooks.may_send_command(now, worker->id)
+                 : !worker->leaving && this->hooks.may_send(now, *worker);
+  if (!may_send) {
     return "worker takes no requests";
   }
   return nullptr;
--- a/src/limits/detail/worker_allowances.h
+++ b/src/limits/detail/worker_allowances.h
@@ -84,6 +84,7 @@
   double cautious_share = 0.75;
   /// Time without a response that says so until a worker is not brittle.
   Duration brittle_lifetime{std::chrono::seconds(6)};
+  std::size_t max_commands_in_pause = 2;
   /// Notices of other hosts appear later than they are by their time in
   /// transit.
   Duration transit{std::chrono::milliseconds(50)};
@@ -149,13 +150,17 @@
   std::vector<RoomNotice> ExportRooms(Instant now, bool include_received) const;
 
   /// @brief Sends nothing to the worker before an instant.
-  void Hold(const UpstreamId& worker, Instant until);
+  void Hold(Instant now, const UpstreamId& worker, Instant until);
   /// @return the end of the worker's pause; past if there is none
   Instant HeldUntil(const UpstreamId& worker) const;
 
   /// @return whether a request may be sent to the worker now
   bool MaySend(Instant now, const UpstreamId& worker);
 
+  /// @return whether a command, a check or a stream's next part may be sent to
+  /// the worker now: in a pause only a few of these
+  bool MaySendCommand(Instant now, const UpstreamId& worker) const;
+
   /// @brief Charges a request to the worker. Requests that can't be avoided
   /// may exceed the allowance; later ones make up for it.
   void RecordSend(Instant now, const UpstreamId& worker);
@@ -191,6 +196,10 @@
     Instant refilled{};
   };
 
+  struct Pause {
+    Instant until{};
+    std::size_t sent = 0;  ///< since its begin
+  };
   struct Room {
     WorkerRoom worker;
     double room = 0;      ///< when it last refused a request
@@ -225,7 +234,7 @@
   std::function<std::uint32_t(const UpstreamId&)> in_progress;
   std::map<UpstreamId, Entry> entries;
   std::map<UpstreamId, Room> rooms;  ///< of brittle workers
-  std::map<UpstreamId, Instant> held_until;
+  std::map<UpstreamId, Pause> pauses;
 };
 
 }  // namespace limpetlink
--- a/src/limits/worker_allowances.cc
+++ b/src/limits/worker_allowances.cc
@@ -202,14 +202,18 @@
   return notices;
 }
 
-void WorkerAllowances::Hold(const UpstreamId& worker, Instant until) {
-  Instant& end = this->held_until[worker];
-  end = std::max(end, until);
+void WorkerAllowances::Hold(Instant now, const UpstreamId& worker,
+                            Instant until) {
+  Pause& pause = this->pauses[worker];
+  if (pause.until <= now) {
+    pause = Pause{};
+  }
+  pause.until = std::max(pause.until, until);
 }
 
 Instant WorkerAllowances::HeldUntil(const UpstreamId& worker) const {
-  const auto found = this->held_until.find(worker);
-  return found == this->held_until.end() ? Instant{} : found->second;
+  const auto found = this->pauses.find(worker);
+  return found == this->pauses.end() ? Instant{} : found->second.until;
 }
 
 std::optional<double> WorkerAllowances::RateOf(Instant now,
@@ -292,7 +296,18 @@
   return found->second.tokens >= 1;
 }
 
+bool WorkerAllowances::MaySendCommand(Instant now,
+                                      const UpstreamId& worker) const {
+  const auto found = this->pauses.find(worker);
+  return found == this->pauses.end() || found->second.until <= now ||
+         found->second.sent < this->settings.max_commands_in_pause;
+}
+
 void WorkerAllowances::RecordSend(Instant now, const UpstreamId& worker) {
+  if (const auto pause = this->pauses.find(worker);
+      pause != this->pauses.end() && pause->second.until > now) {
+    ++pause->second.sent;
+  }
   const auto found = this->entries.find(worker);
   if (found != this->entries.end()) {
     this->Refill(now, worker, &found->second);
@@ -343,7 +358,7 @@
 
 void WorkerAllowances::Remove(const UpstreamId& worker) {
   this->entries.erase(worker);
-  this->held_until.erase(worker);
+  this->pauses.erase(worker);
   this->rooms.erase(worker);
 }
 
