--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -80,7 +80,7 @@
   /// @brief Records that a caller read bytes; resumes paused attempts.
   void OnCallerBufferDrained(Instant now, const CallerBufferDrained& drained);
   /// @return whether the call belongs to a request, report or migration
-  bool OnHead(Instant now, const HttpHead& head);
+  bool OnHead(Instant now, const HttpHead& received);
   bool OnChunk(Instant now, const HttpChunk& chunk);
   bool OnDone(Instant now, const HttpDone& done);
 
@@ -249,6 +249,14 @@
   Distance DistanceBetween(const FailureDomainId& from,
                            const FailureDomainId& to) const;
 
+  // What workers say of themselves; in forwarding_worker_state.cc.
+  /// @brief Handles what every response of a worker may tell about it.
+  void ApplyWorkerState(Instant now, const UpstreamId& worker, int status,
+                        const WorkerResponse& response);
+  /// @brief Reads the limit in a response to a call that was sent at `sent`.
+  void ReadLimit(Instant now, const UpstreamId& worker, Instant sent,
+                 const WorkerResponse& response, LimitSource source);
+
   // Quarantine; in forwarding_quarantine.cc.
   /// @return why the request may not be sent to an engine, if so
   std::optional<Problem> CheckQuarantine(Instant now,
@@ -269,14 +277,8 @@
   /// @return number of engines in this failure domain
   std::size_t RequestLoadReports(Instant now);
   void HandleLoadReport(Instant now, const ReportCall& call);
-  bool OnMigrationDone(Instant now, CallId call, const WorkerCallEnd& end);
+  bool OnMigrationDone(Instant now, CallId id, const WorkerCallEnd& end);
   bool OnMigrationHead(Instant now, const HttpHead& head);
-  /// @brief Handles what every response of a worker may tell about it.
-  void ApplyWorkerState(Instant now, const UpstreamId& worker, int status,
-                        const WorkerResponse& response);
-  /// @brief Reads the limit in a response to a call that was sent at `sent`.
-  void ReadLimit(Instant now, const UpstreamId& worker, Instant sent,
-                 const WorkerResponse& response, LimitSource source);
   /// @brief Returns when the next refused caller of a service may return, at
   /// the rate that this host's share of the workers' limits serves.
   Duration ReserveReturn(Instant now, const std::string& service,
--- a/src/neighbours/detail/message.h
+++ b/src/neighbours/detail/message.h
@@ -58,7 +58,7 @@
 struct Gossip {
   CrashEvidence evidence;
   std::vector<LimitNotice> limits{};  ///< the first kMaxLimitNotices are sent
-  std::vector<RoomNotice> rooms{};  ///< the first kMaxLimitNotices are sent
+  std::vector<RoomNotice> rooms{};    ///< the first kMaxLimitNotices are sent
   /// Of the sender itself; only sent to hosts of its failure domain.
   std::optional<RelayOffer> relay{};
 
--- a/src/reachability/detail/relay_directory.h
+++ b/src/reachability/detail/relay_directory.h
@@ -78,6 +78,9 @@
   double Cost(const Entry& entry, const RelayQuery& query);
 
   std::map<HostId, Entry> entries;
+  /// Hosts that are not cut off. While there are none, as when all workers are
+  /// lost, requests are refused without a search.
+  std::size_t offering = 0;
   std::map<HostId, std::uint32_t> in_progress;  ///< of this host, by relay
   Random random;
 };
--- a/src/reachability/relay_directory.cc
+++ b/src/reachability/relay_directory.cc
@@ -30,6 +30,9 @@
     entry.offer = std::move(offer);
     entry.received_at = now;
   }
+  this->offering = static_cast<std::size_t>(std::count_if(
+      this->entries.begin(), this->entries.end(),
+      [](const auto& each) { return !each.second.offer.cut_off; }));
 }
 
 void RelayDirectory::OnRefused(Instant now, const HostId& host) {
