--- a/src/gateway/worker_paths.cc
+++ b/src/gateway/worker_paths.cc
@@ -191,9 +191,7 @@
   if (cut_off != this->logged_cut_off) {
     log(cut_off ? "cut off from all workers" : "no longer cut off",
         {{"unreachable", std::to_string(unreachable.size())},
-         {"relays",
-          std::to_string(
-              this->relays.Available(now, logged.max_size()).size())}});
+         {"relays", std::to_string(this->relays.Offering())}});
   }
   logged = unreachable;
   this->logged_cut_off = cut_off;
--- a/src/reachability/detail/relay_directory.h
+++ b/src/reachability/detail/relay_directory.h
@@ -61,6 +61,9 @@
   /// @return the offers of hosts that are not cut off, in random order
   std::vector<RelayOffer> Available(Instant now, std::size_t max);
 
+  /// @return the number of hosts whose latest offer is not cut off
+  std::size_t Offering() const { return this->offering; }
+
   /// @return a host that reaches the worker: near, and with few requests
   std::optional<RelayOffer> Choose(Instant now, const RelayQuery& query);
 
