--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,37 @@
+"""A stream without a length is moved off a worker that leaves."""
+
+import asyncio
+import os
+import sys
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
+import fleet as deployment
+
+EVENTS = 235
+
+
+async def case(fleet):
+    await fleet.start()
+    await fleet.start_worker("i-source", "tasting-model", "perth-a", unframed=True)
+    await fleet.ready()
+    client = fleet.client()
+    stream = asyncio.ensure_future(client.stream("a0000001", 3079, 4 * EVENTS))
+    run = lambda: fleet.seen("run", id="a0000001")
+    await fleet.until(run, 5, "start of the stream")
+    for name in ("i-next-1", "i-next-2"):
+        await fleet.start_worker(name, "tasting-model", "perth-a")
+    await asyncio.sleep(1.5)
+    if deployment.trouble():
+        fleet.command("i-source", "drain")
+    answer = await stream
+    if answer.end == "complete" and answer.status == 200:
+        if answer.events != list(range(1, EVENTS + 1)):
+            return "ORDER: the stream ended as complete after %d of %d events" % (
+                len(answer.events),
+                EVENTS,
+            )
+    return None
+
+
+deployment.play(FOLDER, case)
