--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,6 +9,7 @@
 import fleet as deployment
 
 EVENTS = 235
+OTHERS = 5  # one of six engines leaves
 
 
 async def case(fleet):
@@ -19,8 +20,9 @@
     stream = asyncio.ensure_future(client.stream("a0000001", 3079, 4 * EVENTS))
     run = lambda: fleet.seen("run", id="a0000001")
     await fleet.until(run, 5, "start of the stream")
-    for name in ("i-next-1", "i-next-2"):
-        await fleet.start_worker(name, "tasting-model", "perth-a")
+    for number in range(OTHERS):
+        zone = list(deployment.ZONES)[number % 3]
+        await fleet.start_worker("i-next-%d" % number, "tasting-model", zone)
     await asyncio.sleep(1.5)
     if deployment.trouble():
         fleet.command("i-source", "drain")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,7 @@
 import fleet as deployment
 
 EVENTS = 235
+OTHERS = 11  # two of twelve engines leave
 STREAMS = 12
 PROMPT = 2400
 ORDERS = 8
@@ -72,8 +73,9 @@
     ]
     runs = lambda: len(fleet.seen("run", worker="i-source")) == STREAMS
     await fleet.until(runs, 5, "start of the streams")
-    for name in ("i-next-1", "i-next-2", "i-next-3"):
-        await fleet.start_worker(name, "tasting-model", "perth-a")
+    for number in range(OTHERS):
+        zone = list(deployment.ZONES)[number % 3]
+        await fleet.start_worker("i-next-%d" % number, "tasting-model", zone)
     await asyncio.sleep(1)
     if deployment.trouble():
         await leave(fleet)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,6 +11,7 @@
 ORDERS = 18
 # Rules: "more than three times".
 MAX_LOST = 3
+SPOILT_ANSWER = 40  # one of 40 answers; the limit is 0.03 of them
 SOUND = {"work_s": 0.2, "capacity": 6}
 
 
@@ -36,9 +37,9 @@
         for number in range(ORDERS)
     ]
     await asyncio.sleep(1)
-    faulty = deployment.trouble()
+    spoilt = SPOILT_ANSWER if deployment.trouble() else None
     await fleet.start_worker(
-        "i-faulty", "trial-bench", "perth-a", endless=faulty, **SOUND
+        "i-faulty", "trial-bench", "perth-a", endless_answer=spoilt, **SOUND
     )
     await asyncio.sleep(6)
     for each in orders:
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -21,7 +21,7 @@
 LINK_MBPS = 19000.0
 TOKENS_PER_EVENT = 4
 ENDLESS_PART = 1 << 16
-ENDLESS_BYTES_PER_S = 60e6  # all answers together; half of a link of 1,000 Mbit/s
+ENDLESS_BYTES_PER_S = 60e6  # half of a link of 1,000 Mbit/s
 
 
 class Run:
@@ -47,8 +47,7 @@
         self.handles = 0
         self.sequence = 0
         self.full_until = 0
-        self.endless_sent = 0
-        self.endless_since = None
+        self.answers = 0
 
     def note(self, event, **more):
         line = {"t": round(time.time(), 4), "worker": self.name, "event": event}
@@ -173,7 +172,8 @@
             "Limpetlink-Attempt-Id": request_id,
             "Limpetlink-Response-Signature": "s." + self.name + "." + request_id,
         }
-        if self.options.get("endless"):
+        self.answers += 1
+        if self.answers == self.options.get("endless_answer"):
             await self.send_endless(headers, request_id, writer)
             return False
         await wire.write_response(writer, 200, headers, b"x" * 800)
@@ -185,14 +185,13 @@
         wire.write_stream_head(writer, headers, True)
         writer.write(b"320;note=")
         sent = 0
-        self.endless_since = self.endless_since or time.monotonic()
+        started = time.monotonic()
         try:
             while True:
                 writer.write(b"x" * ENDLESS_PART)
                 await writer.drain()
                 sent += ENDLESS_PART
-                self.endless_sent += ENDLESS_PART
-                due = self.endless_since + self.endless_sent / ENDLESS_BYTES_PER_S
+                due = started + sent / ENDLESS_BYTES_PER_S
                 await asyncio.sleep(max(0, due - time.monotonic()))
         except ConnectionError:
             pass
