--- a/src/event_loop/call_client.cc
+++ b/src/event_loop/call_client.cc
@@ -263,9 +263,9 @@
         return;  // an interim response; Finish starts a new parser
       }
       this->head_emitted = true;
-      this->client->EmitEvent(HttpHead{this->call,
-                                       static_cast<int>(message.result_int()),
-                                       CopyHeaders(message)});
+      this->client->EmitEvent(
+          HttpHead{this->call, static_cast<int>(message.result_int()),
+                   CopyHeaders(message), this->parser->need_eof()});
     }
     if (!message.body().empty()) {
       std::string bytes;
--- a/src/event_loop/tests/event_loop_test.cc
+++ b/src/event_loop/tests/event_loop_test.cc
@@ -310,6 +310,7 @@
       }
       if (const auto* head = std::get_if<HttpHead>(&event)) {
         this->status = head->status;
+        this->until_close = head->until_close;
       }
       if (const auto* chunk = std::get_if<HttpChunk>(&event)) {
         this->received += chunk->bytes;
@@ -339,6 +340,7 @@
   RequestId caller;
   std::uint64_t last_call = 0;
   int status = 0;
+  std::atomic<bool> until_close{false};
   std::string received;
   Duration total_timeout{0};
   std::uint64_t max_body = 0;
@@ -354,6 +356,24 @@
     WriteText(&socket, "HTTP/1.1 200 OK\r\n\r\nabc");
   });
   CHECK(this->SendRequest().find("complete 200 abc") != std::string::npos);
+  CHECK(this->until_close);
+  server.join();
+}
+
+TEST_CASE_METHOD(CallFixture,
+                 "call, response with a length or chunks, is told apart from "
+                 "one that its connection's end delimits",
+                 "[event_loop]") {
+  const std::string body =
+      GENERATE(as<std::string>(), "Content-Length: 3\r\n\r\nabc",
+               "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  std::thread server([this, &body] {
+    Tcp::socket socket = this->worker.Accept();
+    ReadRequest(&socket);
+    WriteText(&socket, "HTTP/1.1 200 OK\r\n" + body);
+  });
+  CHECK(this->SendRequest().find("complete 200 abc") != std::string::npos);
+  CHECK_FALSE(this->until_close);
   server.join();
 }
 
--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -93,6 +93,7 @@
   /// Identifies the transferred cache. If set with kNoCapacity, the source
   /// itself holds the stopped stream.
   std::string handle;
+  std::uint64_t events = 0;  ///< generated so far; 0 if unknown
 };
 
 /// @brief Metadata from the headers of a worker's response.
--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -33,6 +33,7 @@
   bool has_events = false;         ///< at least one event was relayed
   bool relaying = false;           ///< events are streamed to the caller
   bool paused = false;             ///< reading is paused: the caller is slow
+  bool until_close = false;  ///< only its connection's end delimits the body
 };
 
 /// @brief Phase of a stream migration.
@@ -57,7 +58,12 @@
   std::string body;
   std::string handle;      ///< of the latest transfer
   bool at_source = false;  ///< the handle is valid only at the source
-  bool source_ended = false;
+  /// The source's attempt, once it has ended.
+  std::optional<Attempt> source_attempt;
+  bool source_closed_in_order = false;  ///< its end is not a failure
+  bool run_gone = false;  ///< the source had no such run when told to stop
+  /// Events that the source had generated at its last response.
+  std::uint64_t events_generated = 0;
   Instant noticed_at{};       ///< first notice that the source is leaving
   Instant command_sent_at{};  ///< of the latest transfer command
   std::uint32_t transfer_attempts = 0;
@@ -84,6 +90,7 @@
   std::uint32_t possible_runs = 0;  ///< attempts that may have run
   bool delivering = false;  ///< the response head was sent to the caller
   EventSplitter events;
+  std::uint64_t events_relayed = 0;
   std::size_t buffered = 0;  ///< response bytes not yet sent to the caller
   std::optional<Instant> first_event;  ///< when it was relayed to the caller
   Instant last_event{};
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -299,6 +299,10 @@
                             const KvTransferResult& result);
   void HandleTransferred(Instant now, ForwardedRequest* flow,
                          const std::string& handle);
+  /// @brief Handles that the source runs the stream no longer.
+  void HandleStopped(Instant now, ForwardedRequest* flow);
+  /// @return whether the ended source sent the whole stream
+  static bool IsWhole(const ForwardedRequest& flow);
   void RetryMigration(Instant now, ForwardedRequest* flow, Duration pause);
   void Resume(Instant now, ForwardedRequest* flow);
   /// @return whether the migration handles the end of the attempt
--- a/src/gateway/detail/worker_paths.h
+++ b/src/gateway/detail/worker_paths.h
@@ -54,6 +54,11 @@
 inline constexpr const char* kRelayTokenHeader = "Limpet-Relay-Token";
 inline constexpr const char* kRelayKindHeader = "Limpet-Relay-Kind";
 inline constexpr const char* kRelayResultHeader = "Limpet-Relay-Result";
+/// Its value kRelayUntilClose says that only the end of the worker's connection
+/// delimits the body, which the relay sends in chunks. Hosts that don't know
+/// the header ignore it.
+inline constexpr const char* kRelayBodyHeader = "Limpet-Relay-Body";
+inline constexpr const char* kRelayUntilClose = "until-close";
 
 /// @brief Returns the headers without those between hosts.
 Headers WithoutRelayHeaders(Headers headers);
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -424,6 +424,8 @@
                                       const KvTransferResult& result) {
   StreamMigration& migration = *flow->migration;
   const bool stopping = migration.phase == MigrationPhase::kStopping;
+  migration.events_generated =
+      std::max(migration.events_generated, result.events);
   this->Log(
       LogLevel::kInfo, "stream copy",
       {{"request", flow->metadata.request_id},
@@ -444,13 +446,8 @@
       migration.at_source = true;
     }
     // The stream has stopped or ended; continue from the latest transfer.
-    migration.phase = MigrationPhase::kStopped;
-    if (migration.source_ended) {
-      this->Resume(now, flow);
-    } else {
-      this->timers.insert({now + kLastEventsTimeout, flow->request.id.value,
-                           TimerKind::kMigration});
-    }
+    migration.run_gone = result.outcome == KvTransferOutcome::kNoSuchRun;
+    this->HandleStopped(now, flow);
     return;
   }
   switch (result.outcome) {
@@ -478,28 +475,64 @@
     this->StartKvTransfer(now, flow, true);
     return;
   }
+  this->HandleStopped(now, flow);
+}
+
+void Forwarding::HandleStopped(Instant now, ForwardedRequest* flow) {
+  StreamMigration& migration = *flow->migration;
   migration.phase = MigrationPhase::kStopped;
-  if (migration.source_ended) {
+  if (!migration.source_attempt.has_value()) {
+    this->timers.insert({now + kLastEventsTimeout, flow->request.id.value,
+                         TimerKind::kMigration});
+  } else if (this->IsWhole(*flow)) {
+    const Attempt attempt = *std::move(migration.source_attempt);
+    this->Deliver(now, flow->request.id.value, attempt);
+  } else {
     this->Resume(now, flow);
-    return;
   }
-  this->timers.insert({now + kLastEventsTimeout, flow->request.id.value,
-                       TimerKind::kMigration});
+}
+
+bool Forwarding::IsWhole(const ForwardedRequest& flow) {
+  const StreamMigration& migration = *flow.migration;
+  if (!migration.source_closed_in_order ||
+      migration.events_generated > flow.events_relayed) {
+    return false;
+  }
+  // A source that is told to stop closes the connection, too.
+  switch (migration.phase) {
+    case MigrationPhase::kScheduled:
+    case MigrationPhase::kCopying:
+      return true;
+    case MigrationPhase::kStopping:
+    case MigrationPhase::kStopped:
+      return migration.run_gone;
+  }
+  return false;
 }
 
 bool Forwarding::DeferToMigration(Instant now, ForwardedRequest* flow,
                                   const Attempt& attempt, AttemptEnd end) {
+  const bool is_delimited =
+      end == AttemptEnd::kAnswered && !attempt.until_close;
   if (!flow->migration.has_value() ||
-      flow->migration->source != attempt.worker ||
-      end == AttemptEnd::kAnswered) {
+      flow->migration->source != attempt.worker || is_delimited) {
     return false;
   }
   StreamMigration& migration = *flow->migration;
-  migration.source_ended = true;
+  migration.source_attempt = attempt;
+  migration.source_closed_in_order = end == AttemptEnd::kAnswered;
   if (migration.phase == MigrationPhase::kStopping) {
-    return true;  // the command's response has the handle
+    return true;  // the command's response tells which end it was
+  }
+  if (this->IsWhole(*flow)) {
+    return false;
   }
   if (migration.handle.empty()) {
+    if (end == AttemptEnd::kAnswered) {
+      this->AbortStream(now, flow->request.id.value,
+                        "the worker closed the stream before its last event");
+      return true;
+    }
     return false;
   }
   this->Resume(now, flow);
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -59,6 +59,7 @@
   attempt->status = head.status;
   attempt->head_at = now;
   attempt->headers = head.headers;
+  attempt->until_close = head.until_close;
   this->loads.RecordFirstByte(attempt->worker, flow->size);
   this->hooks.loads_changed(now);
   attempt->response = this->codec.worker_response(head.headers);
@@ -158,6 +159,7 @@
     attempt->has_events = true;
     this->NoteSoundRun(now, *flow, *attempt, false);
     this->metrics->Add(Counter::kTokensDelivered, split.count);
+    flow->events_relayed += split.count;
     flow->buffered += split.complete.size();
     this->actions.emplace_back(ReplyBody{id, std::move(split.complete)});
   }
--- a/src/gateway/relay_server.cc
+++ b/src/gateway/relay_server.cc
@@ -150,6 +150,9 @@
   Headers headers = WithoutRelayHeaders(EndToEndHeaders(head.headers));
   headers.push_back(
       {kRelayResultHeader, std::string(ToText(RelayResult::kWorker))});
+  if (head.until_close) {
+    headers.push_back({kRelayBodyHeader, kRelayUntilClose});
+  }
   this->actions.emplace_back(
       ReplyHead{request.id, head.status, std::move(headers)});
   return true;
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -73,6 +73,8 @@
 
   Instant now{std::chrono::seconds(1000)};
   bool store_unreachable = false;
+  /// Whether workers' responses are delimited by their connection's end only.
+  bool until_close = false;
   GatewayHost host;
   int log_lines = 0;
   std::vector<PeerSend> datagrams;  ///< sent to other hosts
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -138,6 +138,33 @@
   CHECK(this->ResponseTo(this->request).aborted);
 }
 
+// Guards against a stream that a relay completes although its worker was told
+// to stop: chunks between hosts hide that the worker only closed.
+TEST_CASE_METHOD(CutOffFixture,
+                 "relayed stream, its stopped worker closes the connection, "
+                 "resumes at the next worker",
+                 "[gateway]") {
+  const HttpCall call = this->SendThroughRelay("/stream/1");
+  this->Advance(milliseconds(100));  // registrations are read in batches
+  this->Register("e2", "engines");
+  Headers head = Result("worker");
+  head.push_back({"Limpet-Relay-Body", "until-close"});
+  this->RespondHead(call, 200, head);
+  this->RespondBytes(call, "id: 1\n\n");
+  this->Advance(milliseconds(100));
+  this->Register("e1", "engines", true);
+  this->Respond(this->CallTo("/report"), 200, "", Result("worker"));
+  this->Advance(milliseconds(20));
+  this->Respond(this->CallTo("/copy"), 200, "h1,1", Result("worker"));
+  const HttpCall finish = this->CallTo("/finish");
+  this->EndCall(call);
+  CHECK_FALSE(this->ResponseTo(this->request).ended);
+  this->Respond(finish, 200, "h2,1", Result("worker"));
+  const HttpCall resumed = this->CallTo("/stream/1?a=%20b");
+  CHECK(HeaderOf(resumed.headers, "worker") == "e2");
+  CHECK(HeaderOf(resumed.headers, "resume") == "e1:80/h2/1");
+}
+
 TEST_CASE_METHOD(CutOffFixture,
                  "relayed request, its worker requests a pause, binds the host "
                  "whose caller it is",
@@ -212,6 +239,17 @@
   CHECK(this->ResultOf(id) == "worker");
 }
 
+TEST_CASE_METHOD(RelayFixture,
+                 "relay, a response that only its connection's end delimits, "
+                 "is marked for the other host",
+                 "[gateway]") {
+  this->until_close = GENERATE(false, true);
+  const RequestId id = this->Relay("/order/1");
+  this->Respond(this->Call(), 200, "done", {{"Limpet-Relay-Body", "forged"}});
+  CHECK(HeaderOf(this->ResponseTo(id).headers, "Limpet-Relay-Body") ==
+        (this->until_close ? "until-close" : ""));
+}
+
 TEST_CASE_METHOD(RelayFixture,
                  "relay, a request that is not from a host, is not sent",
                  "[gateway]") {
--- a/src/gateway/worker_paths.cc
+++ b/src/gateway/worker_paths.cc
@@ -82,6 +82,8 @@
       result == nullptr
           ? RelayResult::kUnknown
           : ParseEnum<RelayResult>(*result).value_or(RelayResult::kUnknown);
+  const std::string* body = FindHeader(head->headers, kRelayBodyHeader);
+  head->until_close = body != nullptr && *body == kRelayUntilClose;
   head->headers = WithoutRelayHeaders(std::move(head->headers));
   return found->second.result == RelayResult::kWorker;
 }
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -149,6 +149,8 @@
   CallId id;
   int status = 0;
   Headers headers;
+  /// Whether only the end of the connection delimits the body.
+  bool until_close = false;
 };
 
 /// @brief Bytes of a response's body arrived.
