--- a/src/gateway/detail/codec.h
+++ b/src/gateway/detail/codec.h
@@ -68,34 +68,6 @@
   bool final_part = false;  ///< stop the stream, transfer the rest
 };
 
-/// @brief Outcome of a KV transfer command.
-enum class KvTransferOutcome {
-  kCopied,
-  kNoSuchRun,   ///< not started yet, or already ended
-  kBusy,        ///< another command for the stream is in progress
-  kNoCapacity,  ///< destination full or unreachable
-  kUnknown,     ///< no response, or a malformed one
-};
-
-template <>
-struct EnumTable<KvTransferOutcome> {
-  static constexpr EnumName<KvTransferOutcome> kRows[] = {
-      {KvTransferOutcome::kCopied, "copied"},
-      {KvTransferOutcome::kNoSuchRun, "no_such_run"},
-      {KvTransferOutcome::kBusy, "busy"},
-      {KvTransferOutcome::kNoCapacity, "no_room"},
-      {KvTransferOutcome::kUnknown, "unknown"}};
-};
-
-/// @brief An engine's response to a KV transfer command.
-struct KvTransferResult {
-  KvTransferOutcome outcome = KvTransferOutcome::kUnknown;
-  /// Identifies the transferred cache. If set with kNoCapacity, the source
-  /// itself holds the stopped stream.
-  std::string handle;
-  std::uint64_t events = 0;  ///< generated so far; 0 if unknown
-};
-
 /// @brief Metadata from the headers of a worker's response.
 struct WorkerResponse {
   std::string request_id;  ///< of the answered request; may be empty
--- a/src/gateway/detail/forwarded.h
+++ b/src/gateway/detail/forwarded.h
@@ -36,37 +36,17 @@
   bool until_close = false;  ///< only its connection's end delimits the body
 };
 
-/// @brief Phase of a stream migration.
-enum class MigrationPhase {
-  kScheduled,  ///< the first transfer starts later
-  kCopying,    ///< first transfer, while the stream runs
-  kStopping,   ///< the source stops and transfers the rest
-  kStopped,    ///< transfers ended; awaits the source's last events
-};
-
 /// @brief The migration of a stream from one worker to another.
 struct StreamMigration {
-  MigrationPhase phase = MigrationPhase::kScheduled;
-  UpstreamId source;
+  StreamMove move;
   std::string source_address;
   FailureDomainId source_domain;
-  UpstreamId destination;
-  bool reserved = false;            ///< counted in the destination's load
-  std::vector<UpstreamId> refused;  ///< destinations that had no capacity
-  CallId call;                      ///< transfer command in progress; 0: none
-  int status = 0;
-  std::string body;
-  std::string handle;      ///< of the latest transfer
-  bool at_source = false;  ///< the handle is valid only at the source
+  bool reserved = false;  ///< counted in the destination's load
+  std::optional<Instant> timer;
   /// The source's attempt, once it has ended.
   std::optional<Attempt> source_attempt;
-  bool source_closed_in_order = false;  ///< its end is not a failure
-  bool run_gone = false;  ///< the source had no such run when told to stop
-  /// Events that the source had generated at its last response.
-  std::uint64_t events_generated = 0;
   Instant noticed_at{};       ///< first notice that the source is leaving
   Instant command_sent_at{};  ///< of the latest transfer command
-  std::uint32_t transfer_attempts = 0;
 };
 
 /// @brief A request whose caller has no complete response yet.
--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -175,6 +175,13 @@
     std::string body;
   };
 
+  /// @brief A KV transfer command in progress.
+  struct TransferCall {
+    std::uint64_t flow = 0;
+    int status = 0;
+    std::string body;
+  };
+
   struct Timer {
     Instant due;
     std::uint64_t flow;
@@ -288,27 +295,30 @@
   void ScheduleMigration(Instant now, ForwardedRequest* flow,
                          const ReportCall& call, const UpstreamId& destination,
                          Instant due);
-  /// @brief Starts over for a stream that resumed at its leaving worker.
-  void RescheduleMigration(Instant now, ForwardedRequest* flow,
-                           const StreamMigration& previous);
+  void StartMigration(Instant now, ForwardedRequest* flow, StreamMove move,
+                      const StreamMigration& origin, Instant due);
   void ReleaseReservation(Instant now, ForwardedRequest* flow);
-  void AdvanceMigration(Instant now, ForwardedRequest* flow);
+  /// @brief Carries out a step of a stream's move, and the steps that follow.
+  void Advance(Instant now, ForwardedRequest* flow, MoveAction action);
   bool ChooseDestination(Instant now, ForwardedRequest* flow);
-  void StartKvTransfer(Instant now, ForwardedRequest* flow, bool final_part);
-  void HandleTransferResult(Instant now, ForwardedRequest* flow,
-                            const KvTransferResult& result);
-  void HandleTransferred(Instant now, ForwardedRequest* flow,
-                         const std::string& handle);
-  /// @brief Handles that the source runs the stream no longer.
-  void HandleStopped(Instant now, ForwardedRequest* flow);
-  /// @return whether the ended source sent the whole stream
-  static bool IsWhole(const ForwardedRequest& flow);
-  void RetryMigration(Instant now, ForwardedRequest* flow, Duration pause);
+  /// @brief Sends the command for the first or the last transfer.
+  /// @return the next step
+  MoveAction StartTransfer(Instant now, ForwardedRequest* flow, bool last);
+  void HandleTransfer(Instant now, CallId id, const TransferCall& call,
+                      const WorkerCallEnd& end);
   void Resume(Instant now, ForwardedRequest* flow);
   /// @return whether the migration handles the end of the attempt
   bool DeferToMigration(Instant now, ForwardedRequest* flow,
                         const Attempt& attempt, AttemptEnd end);
+  /// @brief Ends a migration: its timer, its reservation and its command.
+  /// @return what it was; its copy is the caller's to use or to release
+  std::pair<StreamMigration, std::string> EndMigration(Instant now,
+                                                       ForwardedRequest* flow);
+  /// @brief Ends a migration, if there is one, and releases its copy.
   void AbandonMigration(Instant now, ForwardedRequest* flow);
+  /// @brief Lets the workers free a copy that won't be used.
+  void ReleaseCopy(Instant now, const StreamMigration& migration,
+                   const std::string& handle);
 
   Headers ReplyHeaders(Instant now, Headers headers) const;
   Duration RetryAfter(Instant now, const ForwardedRequest& flow);
@@ -331,7 +341,7 @@
   std::map<std::uint64_t, ForwardedRequest> flows;
   std::unordered_map<std::uint64_t, std::uint64_t> flow_of_call;
   std::set<Timer> timers;
-  std::unordered_map<std::uint64_t, std::uint64_t> flow_of_migration;
+  std::unordered_map<std::uint64_t, TransferCall> transfers;
   std::unordered_map<std::uint64_t, ReportCall> reports;
   WorkerAllowances allowances;
   std::set<UpstreamId> unreadable_limits;  ///< workers, logged once
--- a/src/gateway/forwarding_migration.cc
+++ b/src/gateway/forwarding_migration.cc
@@ -16,15 +16,8 @@
 constexpr std::uint64_t kMaxCommandResponse = 64U << 10U;
 // Lag of an engine's report, as the engine documents it.
 constexpr Duration kReportLag = std::chrono::milliseconds(500);
-// A stream without its first token can't migrate yet; the command is retried.
-constexpr Duration kNotStartedDelay = std::chrono::milliseconds(40);
-constexpr Duration kBusyDelay = std::chrono::milliseconds(20);
-constexpr Duration kNoCapacityDelay = std::chrono::milliseconds(60);
-// Commands for one stream, including those that were refused.
-constexpr std::uint32_t kMaxTransferAttempts = 200;
-// The last events of a stopped stream arrive with the response to the command
-// or shortly after it.
-constexpr Duration kLastEventsTimeout = std::chrono::milliseconds(25);
+// Time after which a stream that resumed at its leaving worker moves again.
+constexpr Duration kRestartDelay = std::chrono::milliseconds(40);
 // Round trip of the report, from the notice to the first slot of the plan.
 constexpr Duration kReportRoundTrip = std::chrono::milliseconds(8);
 
@@ -164,9 +157,9 @@
                     LimitSource::kReport);
     return true;
   }
-  if (const auto found = this->flow_of_migration.find(head.id.value);
-      found != this->flow_of_migration.end()) {
-    this->flows.at(found->second).migration->status = head.status;
+  if (const auto found = this->transfers.find(head.id.value);
+      found != this->transfers.end()) {
+    found->second.status = head.status;
     return true;
   }
   return this->releases.count(head.id.value) > 0;
@@ -178,9 +171,9 @@
     report->second.body += chunk.bytes;
     return true;
   }
-  if (const auto found = this->flow_of_migration.find(chunk.id.value);
-      found != this->flow_of_migration.end()) {
-    this->flows.at(found->second).migration->body += chunk.bytes;
+  if (const auto found = this->transfers.find(chunk.id.value);
+      found != this->transfers.end()) {
+    found->second.body += chunk.bytes;
     return true;
   }
   return this->releases.count(chunk.id.value) > 0;
@@ -205,17 +198,11 @@
     }
     return true;
   }
-  if (const auto found = this->flow_of_migration.find(id.value);
-      found != this->flow_of_migration.end()) {
-    ForwardedRequest& flow = this->flows.at(found->second);
-    this->flow_of_migration.erase(found);
-    flow.migration->call = CallId{};
-    KvTransferResult result;
-    if (end.end == HttpEnd::kComplete) {
-      result = this->codec.kv_transfer_result(flow.migration->status,
-                                              flow.migration->body);
-    }
-    this->HandleTransferResult(now, &flow, result);
+  if (const auto found = this->transfers.find(id.value);
+      found != this->transfers.end()) {
+    const TransferCall call = std::move(found->second);
+    this->transfers.erase(found);
+    this->HandleTransfer(now, id, call, end);
     return true;
   }
   return this->releases.erase(id.value) > 0;
@@ -295,37 +282,83 @@
 void Forwarding::ScheduleMigration(Instant now, ForwardedRequest* flow,
                                    const ReportCall& call,
                                    const UpstreamId& destination, Instant due) {
+  StreamMigration origin;
+  origin.source_address = call.worker.address;
+  origin.source_domain = call.worker.domain;
+  origin.noticed_at = call.noticed_at;
+  this->StartMigration(now, flow, StreamMove(call.worker.id, destination),
+                       origin, due);
+}
+
+void Forwarding::StartMigration(Instant now, ForwardedRequest* flow,
+                                StreamMove move, const StreamMigration& origin,
+                                Instant due) {
   StreamMigration migration;
-  migration.source = call.worker.id;
-  migration.source_address = call.worker.address;
-  migration.source_domain = call.worker.domain;
-  migration.destination = destination;
-  migration.noticed_at = call.noticed_at;
-  flow->migration = std::move(migration);
+  migration.move = std::move(move);
+  migration.source_address = origin.source_address;
+  migration.source_domain = origin.source_domain;
+  migration.noticed_at = origin.noticed_at;
+  migration.timer = std::max(now, due);
   this->timers.insert(
-      {std::max(now, due), flow->request.id.value, TimerKind::kMigration});
+      {*migration.timer, flow->request.id.value, TimerKind::kMigration});
+  flow->migration = std::move(migration);
 }
 
 // ---- Execution ----
 
-void Forwarding::AdvanceMigration(Instant now, ForwardedRequest* flow) {
-  if (!flow->migration.has_value()) {
-    return;
-  }
-  if (flow->migration->phase == MigrationPhase::kScheduled) {
-    this->StartKvTransfer(now, flow, false);
-  } else if (flow->migration->phase == MigrationPhase::kStopped) {
-    this->Resume(now, flow);
+void Forwarding::Advance(Instant now, ForwardedRequest* flow,
+                         MoveAction action) {
+  const std::uint64_t id = flow->request.id.value;
+  while (true) {
+    StreamMigration& migration = *flow->migration;
+    if (!action.unused.empty()) {
+      this->ReleaseCopy(now, migration, action.unused);
+    }
+    if (migration.move.Phase() == MovePhase::kScheduled) {
+      this->ReleaseReservation(now, flow);  // until the next choice
+    }
+    switch (action.step) {
+      case MoveStep::kNone:
+      case MoveStep::kLeave:
+        return;
+      case MoveStep::kWait:
+        migration.timer = now + action.delay;
+        this->timers.insert({*migration.timer, id, TimerKind::kMigration});
+        return;
+      case MoveStep::kCopy:
+      case MoveStep::kStop:
+        action = this->StartTransfer(now, flow, action.step == MoveStep::kStop);
+        break;
+      case MoveStep::kResume:
+        this->Resume(now, flow);
+        return;
+      case MoveStep::kDeliver: {
+        const Attempt attempt = *std::move(migration.source_attempt);
+        this->Deliver(now, id, attempt);
+        return;
+      }
+      case MoveStep::kAbort:
+        this->AbortStream(now, id,
+                          "the worker closed the stream before its last event");
+        return;
+      case MoveStep::kGiveUp:
+        this->Log(LogLevel::kWarning, "move given up",
+                  {{"request", flow->metadata.request_id},
+                   {"source", migration.move.Source().value},
+                   {"phase", std::string(ToText(migration.move.Phase()))}});
+        return;
+    }
   }
 }
 
 bool Forwarding::ChooseDestination(Instant now, ForwardedRequest* flow) {
   StreamMigration& migration = *flow->migration;
+  const StreamMove& move = migration.move;
   std::vector<LoadCandidate> candidates = this->Candidates(now, *flow);
-  const auto excluded = [&migration](const LoadCandidate& candidate) {
-    return candidate.worker == migration.source ||
-           std::find(migration.refused.begin(), migration.refused.end(),
-                     candidate.worker) != migration.refused.end();
+  const auto excluded = [&move](const LoadCandidate& candidate) {
+    return candidate.worker == move.Source() ||
+           std::find(move.Refused().begin(), move.Refused().end(),
+                     candidate.worker) != move.Refused().end();
   };
   candidates.erase(
       std::remove_if(candidates.begin(), candidates.end(), excluded),
@@ -337,11 +370,10 @@
   }
   // In the plan each transfer has a link to itself, so the planned destination
   // is kept as long as it has capacity.
-  const auto planned =
-      std::find_if(candidates.begin(), candidates.end(),
-                   [&migration](const LoadCandidate& each) {
-                     return each.worker == migration.destination;
-                   });
+  const auto planned = std::find_if(candidates.begin(), candidates.end(),
+                                    [&move](const LoadCandidate& each) {
+                                      return each.worker == move.Destination();
+                                    });
   if (planned != candidates.end()) {
     candidates = {*planned};
   }
@@ -351,9 +383,9 @@
   if (!choice.has_value()) {
     return false;
   }
-  migration.destination = choice->worker;
+  migration.move.SetDestination(choice->worker);
   migration.reserved = true;  // advertised to neighbours
-  this->loads.Begin(now, migration.destination, reservation);
+  this->loads.Begin(now, choice->worker, reservation);
   this->hooks.loads_changed(now);
   return true;
 }
@@ -363,217 +395,129 @@
   if (!std::exchange(migration.reserved, false)) {
     return;
   }
-  this->loads.End(now, migration.destination, {0, flow->size.tokens}, false);
+  this->loads.End(now, migration.move.Destination(), {0, flow->size.tokens},
+                  false);
   this->hooks.loads_changed(now);
 }
 
-void Forwarding::StartKvTransfer(Instant now, ForwardedRequest* flow,
-                                 bool final_part) {
+MoveAction Forwarding::StartTransfer(Instant now, ForwardedRequest* flow,
+                                     bool last) {
   StreamMigration& migration = *flow->migration;
-  if (!this->allowances.MaySendCommand(now, migration.source)) {
-    this->RetryMigration(now, flow,
-                         this->allowances.HeldUntil(migration.source) - now);
-    return;
+  StreamMove& move = migration.move;
+  if (!this->allowances.MaySendCommand(now, move.Source())) {
+    return move.OnHeld(this->allowances.HeldUntil(move.Source()) - now);
   }
-  if (!final_part && !this->ChooseDestination(now, flow)) {
-    migration.refused.clear();
-    this->RetryMigration(now, flow, kNoCapacityDelay);
-    return;
+  if (!last && !this->ChooseDestination(now, flow)) {
+    return move.OnNoDestination();
   }
   const WorkerRegistration* destination =
-      this->directory->Find(migration.destination);
+      this->directory->Find(move.Destination());
   if (destination == nullptr) {
-    this->RetryMigration(now, flow, kNoCapacityDelay);
-    return;
+    return move.OnDestinationLost();
   }
   HttpCall call = this->codec.kv_transfer_call(
-      {flow->metadata.request_id, destination->address, final_part});
+      {flow->metadata.request_id, destination->address, last});
   call.id = this->hooks.next_call_id();
   call.connect_timeout = kCommandConnectTimeout;
   call.total_timeout = kCommandTimeout;
   call.max_body = kMaxCommandResponse;
-  migration.phase =
-      final_part ? MigrationPhase::kStopping : MigrationPhase::kCopying;
-  migration.call = call.id;
-  migration.status = 0;
-  migration.body.clear();
+  move.OnCommandSent(call.id);
   migration.command_sent_at = now;
-  ++migration.transfer_attempts;
-  this->flow_of_migration[call.id.value] = flow->request.id.value;
-  this->SendCommand(now, migration.source, migration.source_address,
+  this->transfers[call.id.value] = {flow->request.id.value, 0, {}};
+  this->SendCommand(now, move.Source(), migration.source_address,
                     std::move(call));
   // A leaving worker closes its connection after each response. Opening the
   // next connection early avoids adding the connection setup time to the
   // handover pause.
-  this->actions.emplace_back(HttpPreconnect{
-      final_part ? destination->address : migration.source_address});
+  this->actions.emplace_back(
+      HttpPreconnect{last ? destination->address : migration.source_address});
+  return {};
 }
 
-void Forwarding::RetryMigration(Instant now, ForwardedRequest* flow,
-                                Duration pause) {
-  this->ReleaseReservation(now, flow);
-  StreamMigration& migration = *flow->migration;
-  migration.phase = MigrationPhase::kScheduled;
-  if (++migration.transfer_attempts <= kMaxTransferAttempts) {
-    this->timers.insert(
-        {now + pause, flow->request.id.value, TimerKind::kMigration});
+void Forwarding::HandleTransfer(Instant now, CallId id,
+                                const TransferCall& call,
+                                const WorkerCallEnd& end) {
+  const auto found = this->flows.find(call.flow);
+  if (found == this->flows.end() || !found->second.migration.has_value()) {
+    this->Log(LogLevel::kWarning, "response to a command without an owner",
+              {{"call", std::to_string(id.value)}});
+    return;
+  }
+  ForwardedRequest& flow = found->second;
+  StreamMigration& migration = *flow.migration;
+  KvTransferResult result;
+  if (end.end == HttpEnd::kComplete) {
+    result = this->codec.kv_transfer_result(call.status, call.body);
   }
-}
-
-void Forwarding::HandleTransferResult(Instant now, ForwardedRequest* flow,
-                                      const KvTransferResult& result) {
-  StreamMigration& migration = *flow->migration;
-  const bool stopping = migration.phase == MigrationPhase::kStopping;
-  migration.events_generated =
-      std::max(migration.events_generated, result.events);
   this->Log(
       LogLevel::kInfo, "stream copy",
-      {{"request", flow->metadata.request_id},
-       {"source", migration.source.value},
-       {"destination", migration.destination.value},
-       {"last_part", stopping ? "true" : "false"},
+      {{"request", flow.metadata.request_id},
+       {"source", migration.move.Source().value},
+       {"destination", migration.move.Destination().value},
+       {"phase", std::string(ToText(migration.move.Phase()))},
        {"end", std::string(ToText(result.outcome))},
-       {"status", std::to_string(migration.status)},
+       {"status", std::to_string(call.status)},
+       {"events", std::to_string(result.events)},
+       {"events_relayed", std::to_string(flow.events_relayed)},
        {"took_ms", MillisecondsText(now - migration.command_sent_at)},
        {"since_notice_ms", MillisecondsText(now - migration.noticed_at)}});
-  if (result.outcome == KvTransferOutcome::kCopied) {
-    this->HandleTransferred(now, flow, result.handle);
-    return;
-  }
-  if (stopping) {
-    if (!result.handle.empty()) {
-      migration.handle = result.handle;
-      migration.at_source = true;
-    }
-    // The stream has stopped or ended; continue from the latest transfer.
-    migration.run_gone = result.outcome == KvTransferOutcome::kNoSuchRun;
-    this->HandleStopped(now, flow);
-    return;
-  }
-  switch (result.outcome) {
-    case KvTransferOutcome::kNoSuchRun:
-      this->RetryMigration(now, flow, kNotStartedDelay);
-      return;
-    case KvTransferOutcome::kBusy:
-      this->RetryMigration(now, flow, kBusyDelay);
-      return;
-    default:
-      // An immediate second refusal is due to the source rather than the
-      // destinations: it accepts no command while others are queued there.
-      migration.refused.push_back(migration.destination);
-      this->RetryMigration(
-          now, flow, migration.refused.size() > 1 ? kBusyDelay : Duration{0});
-      return;
-  }
-}
-
-void Forwarding::HandleTransferred(Instant now, ForwardedRequest* flow,
-                                   const std::string& handle) {
-  StreamMigration& migration = *flow->migration;
-  migration.handle = handle;
-  if (migration.phase == MigrationPhase::kCopying) {
-    this->StartKvTransfer(now, flow, true);
-    return;
-  }
-  this->HandleStopped(now, flow);
-}
-
-void Forwarding::HandleStopped(Instant now, ForwardedRequest* flow) {
-  StreamMigration& migration = *flow->migration;
-  migration.phase = MigrationPhase::kStopped;
-  if (!migration.source_attempt.has_value()) {
-    this->timers.insert({now + kLastEventsTimeout, flow->request.id.value,
-                         TimerKind::kMigration});
-  } else if (this->IsWhole(*flow)) {
-    const Attempt attempt = *std::move(migration.source_attempt);
-    this->Deliver(now, flow->request.id.value, attempt);
-  } else {
-    this->Resume(now, flow);
-  }
-}
-
-bool Forwarding::IsWhole(const ForwardedRequest& flow) {
-  const StreamMigration& migration = *flow.migration;
-  if (!migration.source_closed_in_order ||
-      migration.events_generated > flow.events_relayed) {
-    return false;
-  }
-  // A source that is told to stop closes the connection, too.
-  switch (migration.phase) {
-    case MigrationPhase::kScheduled:
-    case MigrationPhase::kCopying:
-      return true;
-    case MigrationPhase::kStopping:
-    case MigrationPhase::kStopped:
-      return migration.run_gone;
-  }
-  return false;
+  this->Advance(now, &flow, migration.move.OnCommandEnd(id, result));
 }
 
 bool Forwarding::DeferToMigration(Instant now, ForwardedRequest* flow,
                                   const Attempt& attempt, AttemptEnd end) {
-  const bool is_delimited =
-      end == AttemptEnd::kAnswered && !attempt.until_close;
   if (!flow->migration.has_value() ||
-      flow->migration->source != attempt.worker || is_delimited) {
+      flow->migration->move.Source() != attempt.worker) {
     return false;
   }
+  SourceEnd source_end = SourceEnd::kBroken;
+  if (end == AttemptEnd::kAnswered) {
+    source_end = attempt.until_close ? SourceEnd::kClosed : SourceEnd::kWhole;
+  }
   StreamMigration& migration = *flow->migration;
   migration.source_attempt = attempt;
-  migration.source_closed_in_order = end == AttemptEnd::kAnswered;
-  if (migration.phase == MigrationPhase::kStopping) {
-    return true;  // the command's response tells which end it was
-  }
-  if (this->IsWhole(*flow)) {
+  MoveAction action =
+      migration.move.OnSourceEnd(source_end, flow->events_relayed);
+  if (action.step == MoveStep::kLeave) {
+    this->AbandonMigration(now, flow);  // the request may go elsewhere
     return false;
   }
-  if (migration.handle.empty()) {
-    if (end == AttemptEnd::kAnswered) {
-      this->AbortStream(now, flow->request.id.value,
-                        "the worker closed the stream before its last event");
-      return true;
-    }
-    return false;
-  }
-  this->Resume(now, flow);
+  this->Advance(now, flow, std::move(action));
   return true;
 }
 
 void Forwarding::Resume(Instant now, ForwardedRequest* flow) {
-  this->ReleaseReservation(now, flow);
-  const StreamMigration migration = *std::move(flow->migration);
-  flow->migration.reset();
+  const auto [migration, handle] = this->EndMigration(now, flow);
+  const StreamMove& move = migration.move;
   this->CancelAttempts(now, flow, false);
   const UpstreamId& target =
-      migration.at_source ? migration.source : migration.destination;
+      move.AtSource() ? move.Source() : move.Destination();
   const WorkerRegistration* worker = this->directory->Find(target);
   const std::optional<std::uint64_t> last = flow->events.LastId();
-  if (!this->allowances.MaySendCommand(now, target)) {
-    this->AbortStream(now, flow->request.id.value,
-                      "the stream's next worker requested a pause");
-    return;
-  }
-  if (worker == nullptr || migration.handle.empty() || !last.has_value()) {
-    this->AbortStream(
-        now, flow->request.id.value,
-        "the stream's worker terminated and no KV transfer can be resumed");
-    return;
+  const char* obstacle = nullptr;
+  if (worker == nullptr || handle.empty() || !last.has_value()) {
+    obstacle =
+        "the stream's worker terminated and no KV transfer can be resumed";
+  } else if (!this->allowances.MaySendCommand(now, target)) {
+    obstacle = "the stream's next worker requested a pause";
+  } else if (this->CheckQuarantine(now, *flow).has_value()) {
+    obstacle = "a part of the prompt is quarantined";
   }
-  if (this->CheckQuarantine(now, *flow).has_value()) {
-    this->AbortStream(now, flow->request.id.value,
-                      "a part of the prompt is quarantined");
-    return;
-  }
-  flow->events.DropPartial();
   Attempt attempt;
   attempt.resumed = true;
   attempt.worker = target;
   attempt.sent = now;
-  if (!this->SendAttempt(
-          now, *flow, &attempt,
-          ResumePoint{migration.source_address, migration.handle, *last})) {
-    this->AbortStream(now, flow->request.id.value,
-                      "no host reaches the stream's next worker");
+  if (obstacle == nullptr) {
+    flow->events.DropPartial();
+    if (!this->SendAttempt(
+            now, *flow, &attempt,
+            ResumePoint{migration.source_address, handle, *last})) {
+      obstacle = "no host reaches the stream's next worker";
+    }
+  }
+  if (obstacle != nullptr) {
+    this->ReleaseCopy(now, migration, handle);
+    this->AbortStream(now, flow->request.id.value, obstacle);
     return;
   }
   this->BudgetOf(flow->service).Spend(now);  // counts as a repeated request
@@ -585,7 +529,7 @@
   this->Log(
       LogLevel::kInfo, "stream resumed",
       {{"request", flow->metadata.request_id},
-       {"source", migration.source.value},
+       {"source", move.Source().value},
        {"worker", target.value},
        {"last_event", std::to_string(*last)},
        {"stopped_ms", MillisecondsText(now - migration.command_sent_at)},
@@ -594,50 +538,54 @@
   ++flow->migrations;
   this->metrics->Add(Counter::kStreamsResumed);
   flow->running.push_back(std::move(attempt));
-  if (migration.at_source) {
-    this->RescheduleMigration(now, flow, migration);
+  if (move.AtSource()) {
+    // It resumed at its leaving worker and moves to another one.
+    std::vector<UpstreamId> refused = move.Refused();
+    refused.push_back(move.Destination());
+    this->StartMigration(now, flow,
+                         StreamMove(move.Source(), {}, std::move(refused)),
+                         migration, now + kRestartDelay);
   }
 }
 
-void Forwarding::RescheduleMigration(Instant now, ForwardedRequest* flow,
-                                     const StreamMigration& previous) {
-  StreamMigration migration;
-  migration.source = previous.source;
-  migration.source_address = previous.source_address;
-  migration.source_domain = previous.source_domain;
-  migration.refused = previous.refused;
-  migration.refused.push_back(previous.destination);
-  migration.noticed_at = previous.noticed_at;
-  flow->migration = std::move(migration);
-  this->timers.insert(
-      {now + kNotStartedDelay, flow->request.id.value, TimerKind::kMigration});
+std::pair<StreamMigration, std::string> Forwarding::EndMigration(
+    Instant now, ForwardedRequest* flow) {
+  this->ReleaseReservation(now, flow);
+  StreamMigration migration = *std::move(flow->migration);
+  flow->migration.reset();
+  if (migration.timer.has_value()) {
+    this->timers.erase(
+        {*migration.timer, flow->request.id.value, TimerKind::kMigration});
+  }
+  MoveRemains remains = migration.move.End();
+  if (remains.command.value != 0) {
+    this->transfers.erase(remains.command.value);
+    this->CancelCall(remains.command);
+  }
+  return {std::move(migration), std::move(remains.handle)};
 }
 
 void Forwarding::AbandonMigration(Instant now, ForwardedRequest* flow) {
-  if (!flow->migration.has_value()) {
-    return;
-  }
-  this->ReleaseReservation(now, flow);
-  const StreamMigration migration = *std::move(flow->migration);
-  flow->migration.reset();
-  this->timers.erase({now, flow->request.id.value, TimerKind::kMigration});
-  if (migration.call.value != 0) {
-    this->flow_of_migration.erase(migration.call.value);
-    this->CancelCall(migration.call);
+  if (flow->migration.has_value()) {
+    const auto [migration, handle] = this->EndMigration(now, flow);
+    this->ReleaseCopy(now, migration, handle);
   }
+}
+
+void Forwarding::ReleaseCopy(Instant now, const StreamMigration& migration,
+                             const std::string& handle) {
   // Without the command the worker frees the copy by itself after a while.
-  if (migration.handle.empty() ||
-      !this->allowances.MaySendCommand(now, migration.source)) {
+  const UpstreamId& source = migration.move.Source();
+  if (handle.empty() || !this->allowances.MaySendCommand(now, source)) {
     return;
   }
-  HttpCall call = this->codec.kv_release_call(migration.handle);
+  HttpCall call = this->codec.kv_release_call(handle);
   call.id = this->hooks.next_call_id();
   call.connect_timeout = kCommandConnectTimeout;
   call.total_timeout = kCommandTimeout;
   call.max_body = kMaxCommandResponse;
   this->releases.insert(call.id.value);
-  this->SendCommand(now, migration.source, migration.source_address,
-                    std::move(call));
+  this->SendCommand(now, source, migration.source_address, std::move(call));
 }
 
 }  // namespace limpetlink
--- a/src/gateway/forwarding_responses.cc
+++ b/src/gateway/forwarding_responses.cc
@@ -243,8 +243,8 @@
                         end == AttemptEnd::kCut ||
                         end == AttemptEnd::kMalformed;
   const bool failed = end != AttemptEnd::kAnswered;
-  const bool moving =
-      flow.migration.has_value() && flow.migration->source == attempt.worker;
+  const bool moving = flow.migration.has_value() &&
+                      flow.migration->move.Source() == attempt.worker;
   if (!moving && end == AttemptEnd::kCut && !attempt.relay.has_value()) {
     this->paths->Suspect(now, attempt.worker);
   }
@@ -564,7 +564,11 @@
         this->Hedge(now, &found->second);
         break;
       case TimerKind::kMigration:
-        this->AdvanceMigration(now, &found->second);
+        if (found->second.migration.has_value()) {
+          found->second.migration->timer.reset();
+          this->Advance(now, &found->second,
+                        found->second.migration->move.OnTimer());
+        }
         break;
     }
   }
--- a/src/gateway/tests/streaming_test.cc
+++ b/src/gateway/tests/streaming_test.cc
@@ -137,6 +137,28 @@
   CHECK(HeaderOf(resumed.headers, "resume") == this->source + ":80/h2/2");
 }
 
+// Guards against the end of the process (review/3): a stream resumed while its
+// second copy was in progress, whose response then found no move.
+TEST_CASE_METHOD(StreamFixture,
+                 "stream migration, destination leaves and the source ends in "
+                 "the second copy, is aborted and frees the first copy",
+                 "[gateway]") {
+  this->Register("engine-3", "engines");
+  const HttpCall transfer = this->StartMigration();
+  const std::size_t name = transfer.body.find('>') + 1;
+  this->Unregister(transfer.body.substr(name, transfer.body.find(':') - name));
+  this->Respond(transfer, 200, "h1");
+  this->CallTo("/release/h1");
+  this->Advance(milliseconds(70));
+  const HttpCall second = this->CallTo("/copy");
+  CHECK(second.body != transfer.body);
+  this->EndCall(this->call, HttpEnd::kCut);
+  CHECK(this->ResponseTo(this->id).aborted);
+  CHECK(this->Cancelled(second));
+  this->EndCall(second, HttpEnd::kCut);  // a late end is ignored
+  CHECK(this->TakeCalls().empty());
+}
+
 // Guards against a caller's stream that ends as complete where its source was
 // stopped: the end of the connection was taken for the end of the stream.
 TEST_CASE_METHOD(StreamFixture,
--- a/src/migration/migration.h
+++ b/src/migration/migration.h
@@ -3,3 +3,4 @@
 #pragma once
 
 #include "migration/detail/plan.h"
+#include "migration/detail/stream_move.h"
