--- a/src/event_loop/call_client.cc
+++ b/src/event_loop/call_client.cc
@@ -22,6 +22,9 @@
 constexpr Duration kPreconnectTimeout = std::chrono::milliseconds(400);
 constexpr std::uint64_t kMaxBody = 64U << 20U;
 constexpr std::uint32_t kMaxHead = 64U << 10U;
+// Bytes that the parser consumes only when they are complete: size lines,
+// trailers and heads.
+constexpr std::size_t kMaxUnparsed = kMaxHead;
 constexpr int kMaxInterimResponses = 16;
 constexpr std::string_view kScheme = "http://";
 
@@ -180,6 +183,7 @@
         this->socket, asio::buffer(this->output),
         [self = this->shared_from_this()](const ErrorCode& error, std::size_t) {
           self->writing = false;
+          self->output = std::string();  // frees the memory, unlike clear()
           if (!self->closed && error) {
             self->End(HttpEnd::kCut);
           }
@@ -247,9 +251,12 @@
         return;
       }
       if (used == 0) {
-        return;
+        break;
       }
     }
+    if (this->call.value != 0 && this->input.size() > kMaxUnparsed) {
+      this->End(HttpEnd::kCut);
+    }
   }
 
   void EmitProgress() {
--- a/src/event_loop/tests/event_loop_test.cc
+++ b/src/event_loop/tests/event_loop_test.cc
@@ -489,6 +489,8 @@
   }
 };
 
+// Guards against a process that runs out of memory (review/4): what a worker
+// sends of a size line or trailer was kept until it was complete.
 TEST_CASE_METHOD(EndlessFixture,
                  "call, bytes come without end, ends and closes the connection",
                  "[event_loop]") {
@@ -512,6 +514,16 @@
     repeated = std::string(4096, 'x');
     end = "cut 200";
   }
+  SECTION("in a chunk's size line") {
+    begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=";
+    repeated = std::string(4096, 'x');
+    end = "cut 200";
+  }
+  SECTION("in a trailer") {
+    begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    repeated = "X-Line: " + std::string(1000, 'x') + "\r\n";
+    end = "cut 200";
+  }
   SECTION("in chunks") {
     begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     repeated = "400\r\n" + std::string(1024, 'x') + "\r\n";
@@ -525,6 +537,8 @@
   CHECK(text.find(end) != std::string::npos);
   CHECK(text.size() < (40U << 10U));
   CHECK(written > 0);
+  // What the process and the sockets hold, and no more.
+  CHECK(written < (16U << 20U));
 }
 
 TEST_CASE_METHOD(EndlessFixture,
