--- a/programs/limpet_entry/gateway_process.cc
+++ b/programs/limpet_entry/gateway_process.cc
@@ -37,6 +37,19 @@
   return store;
 }
 
+// Part of the process's memory for requests, which are held about three times
+// while they are received and passed on.
+constexpr std::uint64_t kRequestMemoryDivisor = 8;
+
+EventLoopSettings LoopSettings(const NodeSettings& node) {
+  EventLoopSettings settings{node.callers_address, node.neighbour_address,
+                             node.operators_address, node.neighbour_address};
+  if (node.memory_bytes > 0) {
+    settings.max_request_bytes = node.memory_bytes / kRequestMemoryDivisor;
+  }
+  return settings;
+}
+
 GatewaySettings HostSettings(const NodeSettings& node) {
   GatewaySettings settings;
   settings.self = HostId{node.node_name};
@@ -68,9 +81,7 @@
         node(std::move(node)),
         writer(WriterSettings(this->node), std::cout),
         host(HostSettings(this->node), platform::PlatformCodec()),
-        loop({this->node.callers_address, this->node.neighbour_address,
-              this->node.operators_address, this->node.neighbour_address},
-             HooksOf(&this->host), this->Hooks()) {}
+        loop(LoopSettings(this->node), HooksOf(&this->host), this->Hooks()) {}
 
   int Run() {
     const absl::Status status = this->loop.Start();
--- a/src/event_loop/caller_server.cc
+++ b/src/event_loop/caller_server.cc
@@ -16,6 +16,15 @@
 constexpr int kTimedOut = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
+constexpr int kUnavailable = 503;
+// Requests that are held end within seconds, so memory is free soon.
+constexpr const char* kMemoryRetryAfter = "1";
+// Bytes of a request that the parser consumes only when they are complete: size
+// lines and trailers.
+constexpr std::size_t kMaxUnparsed = 64U << 10U;
+// What a rejected caller still sends is read for this time, so that it gets the
+// response; closing the connection before would reset it.
+constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
 constexpr int kListenBacklog = 1024;
 
 }  // namespace
@@ -70,13 +79,19 @@
   bool HasRequest() const { return this->request.value != 0; }
 
   void Sweep(Instant now, const HttpLimits& limits) {
+    if (this->lingering) {
+      if (now - this->last_activity > kLingerTime) {
+        this->Close();
+      }
+      return;
+    }
     if (this->HasRequest() || this->is_writing) {
       return;
     }
     const bool has_input = this->parser->got_some() || !this->input.empty();
     if (has_input && now - this->head_started_at > limits.header_timeout &&
         !this->parser->is_header_done()) {
-      this->Reject(kTimedOut);
+      this->Reject(kTimedOut, "the head is not complete in time");
     } else if (now - this->last_activity > limits.idle_timeout) {
       this->Close();
     }
@@ -94,6 +109,7 @@
       return;
     }
     this->closed = true;
+    this->Charge(0);
     ErrorCode ignored;  // close releases the descriptor even on an error
     this->socket.close(ignored);
     const auto self = this->shared_from_this();
@@ -141,7 +157,22 @@
                                  });
   }
 
+  /// @brief Accounts for the bytes that this connection holds.
+  void Charge(std::size_t bytes) {
+    this->server->hooks.memory->used += bytes - this->charged;
+    this->charged = bytes;
+  }
+
+  bool HasMemory() const {
+    const RequestMemory& memory = *this->server->hooks.memory;
+    return memory.used <= memory.limit;
+  }
+
   void HandleInput(std::size_t size) {
+    if (this->lingering) {
+      this->Read();
+      return;
+    }
     const Instant now = BootNow();
     if (this->input.empty() && !this->parser->got_some()) {
       this->head_started_at = now;
@@ -149,9 +180,24 @@
     this->last_activity = now;
     this->input.append(this->buffer.data(), size);
     this->Parse();
+    if (!this->closed && !this->close_after && !this->HasRequest()) {
+      this->CheckIncomplete();
+    }
     this->Read();
   }
 
+  /// @brief Bounds what is held of a request that is not complete.
+  void CheckIncomplete() {
+    if (this->input.size() > kMaxUnparsed) {
+      this->Reject(kMalformed, "a size line or trailer is too long");
+      return;
+    }
+    this->Charge(this->input.size() + this->parser->get().body().size());
+    if (!this->HasMemory()) {
+      this->Reject(kUnavailable, "too many bytes of requests are held");
+    }
+  }
+
   void Parse() {
     while (!this->HasRequest() && !this->close_after && !this->input.empty()) {
       ErrorCode error;
@@ -210,6 +256,7 @@
     event.headers = CopyHeaders(message);
     event.body = std::move(message.body());
     event.source = this->server->source;
+    this->Charge(event.target.size() + event.body.size());
     this->server->hooks.emit(std::move(event));
   }
 
@@ -220,14 +267,21 @@
     } else if (error == http::error::body_limit) {
       status = kBodyTooLarge;
     }
-    this->Reject(status);
+    this->Reject(status, "the request is malformed or too large");
   }
 
-  void Reject(int status) {
-    this->output +=
-        RenderResponseHead(status, {{"Connection", "close"}}, false, 0);
+  void Reject(int status, const char* reason) {
+    Headers headers = {{"Connection", "close"}};
+    if (status == kUnavailable) {
+      headers.push_back({"Retry-After", kMemoryRetryAfter});
+    }
+    this->server->hooks.rejected(status, reason);
+    this->output += RenderResponseHead(status, headers, false, 0);
     this->close_after = true;
-    this->input.clear();
+    this->rejected = true;
+    this->input = std::string();
+    this->NewParser();
+    this->Charge(0);
     this->Write();
   }
 
@@ -297,9 +351,10 @@
       this->reply_aborted = false;
       this->chunked = false;
       this->last_activity = BootNow();
+      this->Charge(0);
     }
     if (this->close_after) {
-      this->Close();
+      this->Linger();
       return;
     }
     if (ended) {
@@ -309,6 +364,26 @@
     }
   }
 
+  /// @brief Closes the connection, of a rejected caller after it has closed.
+  void Linger() {
+    if (!std::exchange(this->rejected, false)) {
+      if (!this->lingering) {
+        this->Close();
+      }
+      return;
+    }
+    ErrorCode error;
+    this->socket.shutdown(Tcp::socket::shutdown_send, error);
+    if (error) {
+      this->Close();
+      return;
+    }
+    this->lingering = true;
+    this->input = std::string();
+    this->last_activity = BootNow();
+    this->Read();
+  }
+
   CallerServer* server;
   Tcp::socket socket;
   std::array<char, kReadBytes> buffer{};
@@ -332,7 +407,10 @@
   bool close_after = false;
   bool is_writing = false;
   bool reading = false;
+  bool rejected = false;
+  bool lingering = false;  ///< discards what a rejected caller still sends
   bool closed = false;
+  std::size_t charged = 0;
 };
 
 CallerServer::CallerServer(asio::io_context* context, RequestSource source,
--- a/src/event_loop/detail/caller_server.h
+++ b/src/event_loop/detail/caller_server.h
@@ -18,12 +18,22 @@
 
 class CallerConnection;
 
+/// @brief Memory for requests that all servers of a process share. A request
+/// counts from its first byte to the end of its reply.
+struct RequestMemory {
+  std::size_t limit = 0;  ///< bytes
+  std::size_t used = 0;
+};
+
 /// @brief Functions that a server calls in its event loop.
 struct CallerServerHooks {
   std::function<void(Event)> emit;  ///< receives events; never called from
                                     ///< within Execute
   std::function<HttpLimits()> http_limits;
   std::function<RequestId()> next_id;
+  RequestMemory* memory = nullptr;  ///< must outlive the server
+  /// Called when a request is rejected before the core sees it.
+  std::function<void(int status, const char* reason)> rejected;
 };
 
 /// @brief Serves HTTP/1.1 at one address.
--- a/src/event_loop/detail/event_loop.h
+++ b/src/event_loop/detail/event_loop.h
@@ -19,6 +19,10 @@
   std::string neighbours;  ///< "ip:port" for datagrams; empty disables them
   std::string operators;   ///< "ip:port"
   std::string relays{};  ///< "ip:port" for requests of other hosts; empty: none
+  /// Bytes of all requests that are held; beyond them requests are rejected.
+  std::size_t max_request_bytes = kDefaultRequestBytes;
+
+  static constexpr std::size_t kDefaultRequestBytes = 64U << 20U;
 };
 
 /// @brief Functions that the loop calls in the surrounding process.
--- a/src/event_loop/event_loop.cc
+++ b/src/event_loop/event_loop.cc
@@ -96,7 +96,15 @@
   event_loop::CallerServerHooks ServerHooks() {
     return {[this](Event event) { this->Post(std::move(event)); },
             this->hooks.http_limits,
-            [this] { return RequestId{++this->last_request}; }};
+            [this] { return RequestId{++this->last_request}; },
+            &this->request_memory,
+            [this](int status, const char* reason) {
+              this->hooks.log(LogLine{LogLevel::kWarning,
+                                      "request rejected",
+                                      {{"status", std::to_string(status)},
+                                       {"reason", reason}}},
+                              BootNow());
+            }};
   }
 
   /// @brief Requests of other hosts have the headers of the caller's and some
@@ -265,6 +273,7 @@
   EventLoopHooks hooks;
   asio::io_context context{1};
   std::uint64_t last_request = 0;
+  event_loop::RequestMemory request_memory{this->settings.max_request_bytes, 0};
   std::deque<Event> queue;
   event_loop::CallerServer callers;
   event_loop::CallerServer operators;
