--- a/src/configuration/apply.cc
+++ b/src/configuration/apply.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "configuration/configuration.h"
+#include "decoding/decoding.h"
 
 namespace limpetlink {
 namespace {
@@ -21,13 +22,13 @@
 }
 
 std::string ReadChangeId(std::string_view json) {
-  return StringMember(Json::parse(json, nullptr, false), "change_id");
+  return StringMember(DecodeJsonOrDiscard(json), "change_id");
 }
 
 /// @brief Returns the history record of a version. Every writer produces the
 /// same record.
 std::string HistoryRecord(std::uint64_t version, const std::string& text) {
-  const Json document = Json::parse(text, nullptr, false);
+  const Json document = DecodeJsonOrDiscard(text);
   const Json record = {{"version", version},
                        {"change_id", StringMember(document, "change_id")},
                        {"author", StringMember(document, "author")},
@@ -42,7 +43,7 @@
 absl::StatusOr<std::string> StampChange(std::string_view json,
                                         std::string_view change_id,
                                         std::string_view author) {
-  Json document = Json::parse(json, nullptr, false);
+  Json document = DecodeJsonOrDiscard(json);
   if (!document.is_object()) {
     return MakeStatus(ErrorCode::kFleetMalformed, "not a JSON object");
   }
--- a/src/configuration/delta.cc
+++ b/src/configuration/delta.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "configuration/configuration.h"
+#include "decoding/decoding.h"
 
 namespace limpetlink {
 namespace {
@@ -51,8 +52,8 @@
 
 absl::StatusOr<std::string> ApplyPatch(const std::string& patch,
                                        std::string_view base_text) {
-  const Json base = Json::parse(base_text, nullptr, false);
-  const Json operations = Json::parse(patch, nullptr, false);
+  const Json base = DecodeJsonOrDiscard(base_text);
+  const Json operations = DecodeJsonOrDiscard(patch);
   if (base.is_discarded() || operations.is_discarded()) {
     return DeltaMismatch();
   }
@@ -80,7 +81,7 @@
 }  // namespace
 
 absl::StatusOr<std::string> CanonicalText(std::string_view json) {
-  const Json value = Json::parse(json, nullptr, false);
+  const Json value = DecodeJsonOrDiscard(json);
   if (!value.is_object()) {
     return MakeStatus(ErrorCode::kFleetMalformed, "not a JSON object");
   }
@@ -123,8 +124,8 @@
 
 std::string DifferenceAsPatch(std::string_view from_json,
                               std::string_view to_json) {
-  const Json from = Json::parse(from_json, nullptr, false);
-  const Json to = Json::parse(to_json, nullptr, false);
+  const Json from = DecodeJsonOrDiscard(from_json);
+  const Json to = DecodeJsonOrDiscard(to_json);
   if (from.is_discarded() || to.is_discarded()) {
     return "[]";
   }
--- /dev/null
+++ b/src/decoding/decoding.h
@@ -0,0 +1,5 @@
+/// @file
+/// @brief Bounded decoding of JSON that comes from other processes.
+#pragma once
+
+#include "decoding/detail/decoder.h"
--- a/src/entry/completion_body.cc
+++ b/src/entry/completion_body.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "decoding/decoding.h"
 #include "entry/detail/reply.h"
 
 namespace limpetlink {
@@ -106,7 +107,7 @@
 
 absl::StatusOr<CompletionBody> ParseCompletionBody(CompletionKind kind,
                                                    std::string_view body) {
-  const json json_body = json::parse(body, nullptr, false);
+  const json json_body = DecodeJsonOrDiscard(body);
   if (!json_body.is_object()) {
     return MalformedError("the body must be a JSON object");
   }
--- a/src/entry/service_handler.cc
+++ b/src/entry/service_handler.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "decoding/decoding.h"
 #include "entry/detail/caller_access.h"
 #include "entry/detail/reply.h"
 
@@ -61,8 +62,7 @@
   if (attempt.status != kUnavailable) {
     return false;
   }
-  const auto body =
-      nlohmann::json::parse(attempt.response_body, nullptr, false);
+  const auto body = DecodeJsonOrDiscard(attempt.response_body);
   return body.is_object() && body.contains("outcome") &&
          body["outcome"] == "not_run";
 }
--- a/src/entry/worker_report_poller.cc
+++ b/src/entry/worker_report_poller.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "decoding/decoding.h"
 
 namespace limpetlink {
 namespace {
@@ -30,7 +31,7 @@
 
 absl::StatusOr<WorkerReport> ParseWorkerReport(const UpstreamId& worker,
                                                std::string_view text) {
-  const json parsed = json::parse(text, nullptr, false);
+  const json parsed = DecodeJsonOrDiscard(text);
   if (!parsed.is_object()) {
     return MakeStatus(ErrorCode::kUpstreamMalformed,
                       "a load report must be a JSON object");
--- a/src/gateway/quarantine_records.cc
+++ b/src/gateway/quarantine_records.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "decoding/decoding.h"
 #include "quarantine/detail/evidence_json.h"
 
 namespace limpetlink {
@@ -36,7 +37,8 @@
     this->stored[input.id] = Record::kWriting;
     const StoreOp op = this->store->Put(
         now, {this->kind, input.id},
-        ToJson(this->quarantine->ExportInput(now, input.id)).dump(),
+        ToJson(this->quarantine->ExportInput(now, input.id))
+            .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
         WriteCondition::IfAbsent());
     this->operations.emplace(op.value, input.id);
   }
@@ -89,8 +91,8 @@
 }
 
 void QuarantineRecords::ApplyRecord(Instant now, const ObjectRecord& record) {
-  const std::optional<CrashEvidence> evidence = CrashEvidenceFromJson(
-      nlohmann::json::parse(record.bytes, nullptr, false));
+  const std::optional<CrashEvidence> evidence =
+      CrashEvidenceFromJson(DecodeJsonOrDiscard(record.bytes));
   this->stored[record.name] = Record::kStored;
   if (!evidence.has_value()) {
     this->hooks.record_failed(record.name, "unreadable");
--- a/src/leases/lease.cc
+++ b/src/leases/lease.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "decoding/decoding.h"
 #include "leases/leases.h"
 
 namespace limpetlink {
@@ -17,7 +18,7 @@
 }
 
 std::optional<LeaseRecord> ReadLeaseRecord(std::string_view json) {
-  const Json value = Json::parse(json, nullptr, false);
+  const Json value = DecodeJsonOrDiscard(json);
   const bool is_valid = value.is_object() && value.contains("holder") &&
                         value["holder"].is_string() &&
                         value.contains("epoch") &&
--- a/src/metadata_store/encode.cc
+++ b/src/metadata_store/encode.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "decoding/decoding.h"
 #include "metadata_store/detail/dialect.h"
 
 namespace limpetlink {
@@ -105,7 +106,7 @@
 }
 
 bool ReadObjects(const std::string& body, std::vector<ObjectEntry>* objects) {
-  const Json document = Json::parse(body, nullptr, false);
+  const Json document = DecodeJsonOrDiscard(body);
   const Json* rows = FindRows(document, "objects");
   if (rows == nullptr) {
     return false;
@@ -123,7 +124,7 @@
 }
 
 bool ReadHosts(const std::string& body, std::vector<ListedHost>* hosts) {
-  const Json document = Json::parse(body, nullptr, false);
+  const Json document = DecodeJsonOrDiscard(body);
   const Json* rows = FindRows(document, "hosts");
   if (rows == nullptr) {
     return false;
--- a/src/operators/fleet_changes.cc
+++ b/src/operators/fleet_changes.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "decoding/decoding.h"
 
 namespace limpetlink {
 namespace {
@@ -17,7 +18,7 @@
 }
 
 std::optional<FleetRevision> ParseRevision(const std::string& text) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
+  const auto json = DecodeJsonOrDiscard(text);
   if (!json.is_object()) {
     return std::nullopt;
   }
--- a/src/operators/host_queries.cc
+++ b/src/operators/host_queries.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/base.h"
+#include "decoding/decoding.h"
 
 namespace limpetlink {
 namespace {
@@ -47,7 +48,7 @@
     status.error = absl::StrCat(call_status.message());
     return status;
   }
-  const auto json = nlohmann::json::parse(response.body, nullptr, false);
+  const auto json = DecodeJsonOrDiscard(response.body);
   if (!json.is_object()) {
     status.error = "the response is malformed";
     return status;
--- a/src/placement/answers.cc
+++ b/src/placement/answers.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "decoding/decoding.h"
 #include "placement/placement.h"
 
 namespace limpetlink {
@@ -13,7 +14,7 @@
 constexpr std::uint32_t kMaxDoublings = 6;
 
 std::uint64_t ParseFence(const std::string& body) {
-  const nlohmann::json value = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json value = DecodeJsonOrDiscard(body);
   const bool well_formed = value.is_object() && value.contains("fence") &&
                            value["fence"].is_number_unsigned();
   return well_formed ? value["fence"].get<std::uint64_t>() : 0;
--- a/src/placement/engine.cc
+++ b/src/placement/engine.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "decoding/decoding.h"
+
 namespace limpetlink {
 namespace {
 
@@ -17,7 +19,7 @@
 }  // namespace
 
 std::optional<EngineStateReport> ParseEngineStateReport(std::string_view json) {
-  const Json value = Json::parse(json, nullptr, false);
+  const Json value = DecodeJsonOrDiscard(json);
   const bool well_formed = value.is_object() && value.contains("model") &&
                            value["model"].is_string() &&
                            value.contains("version") &&
--- a/src/streams/engine_frame.cc
+++ b/src/streams/engine_frame.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "decoding/decoding.h"
+
 namespace limpetlink {
 namespace {
 
@@ -52,7 +54,7 @@
 }  // namespace
 
 absl::StatusOr<EngineFrame> ParseEngineFrame(const SseEvent& event) {
-  const auto data = nlohmann::json::parse(event.data, nullptr, false);
+  const auto data = DecodeJsonOrDiscard(event.data);
   if (!data.is_object()) {
     return Malformed("frame is not a JSON object");
   }
