--- a/src/gateway/detail/forwarding.h
+++ b/src/gateway/detail/forwarding.h
@@ -195,6 +195,9 @@
   /// @brief Finds route, service, size and deadline of a request.
   /// @return why it is refused, if so
   std::optional<Problem> Admit(Instant now, ForwardedRequest* flow);
+  /// @brief Returns how long a host that shuts down has to expect a request to
+  /// take.
+  Duration LongestRun(const ForwardedRequest& flow, Duration timeout) const;
   std::optional<Problem> CheckKey(Instant now, const ActiveDeployment& active,
                                   ForwardedRequest* flow);
   std::optional<LoadChoice> ChooseWorker(Instant now,
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -27,6 +27,8 @@
 // More than any engine holds. Caps the token counts that callers claim, so that
 // sums over many requests don't overflow.
 constexpr std::uint64_t kMaxTokens = 1ULL << 30U;
+// A host that shuts down takes no request that it can't expect to answer.
+constexpr Duration kMinRun = std::chrono::milliseconds(100);
 // If only this host can't serve the request, the next one can at once.
 constexpr Duration kOtherHostRetryAfter = std::chrono::milliseconds(20);
 
@@ -223,16 +225,9 @@
   const Duration timeout = std::min(
       caller.timeout.value_or(flow->route->timeout), flow->route->timeout);
   flow->deadline = now + timeout;
-  const std::uint64_t max_tokens =
-      std::min(caller.max_output_tokens.value_or(
-                   caller.expected_output_tokens.value_or(0)),
-               kMaxTokens);
-  const Duration run_time =
-      FromSeconds(ToSeconds(kTimePerToken) * static_cast<double>(max_tokens) *
-                  kCrowdedFactor);
-  if (flow->Streaming() && run_time >= this->hooks.time_to_end(now)) {
+  if (this->LongestRun(*flow, timeout) >= this->hooks.time_to_end(now)) {
     return Problem{ErrorCode::kHostShuttingDown, Outcome::kNotRun,
-                   "the stream may outlast this host", kOtherHostRetryAfter};
+                   "the request may outlast this host", kOtherHostRetryAfter};
   }
   if (std::optional<Problem> problem = this->CheckQuarantine(now, *flow)) {
     this->metrics->Add(Counter::kQuarantineRefusals);
@@ -241,6 +236,29 @@
   return std::nullopt;
 }
 
+Duration Forwarding::LongestRun(const ForwardedRequest& flow,
+                                Duration timeout) const {
+  switch (flow.route->kind) {
+    case RouteKind::kStreaming: {
+      const CallerMetadata& caller = flow.metadata;
+      const std::uint64_t max_tokens =
+          std::min(caller.max_output_tokens.value_or(
+                       caller.expected_output_tokens.value_or(0)),
+                   kMaxTokens);
+      return FromSeconds(ToSeconds(kTimePerToken) *
+                         static_cast<double>(max_tokens) * kCrowdedFactor);
+    }
+    case RouteKind::kIdempotent:
+      // If it is cut nevertheless, its caller can repeat it.
+      return std::min(timeout, std::max(flow.route->objective, kMinRun));
+    case RouteKind::kNonIdempotent:
+      break;
+  }
+  // With a timeout beyond the grace period, the first half of the period still
+  // serves callers that don't know of the shutdown yet.
+  return std::min(timeout, this->settings.limits.grace_period / 2);
+}
+
 std::optional<Problem> Forwarding::CheckKey(Instant /*now*/,
                                             const ActiveDeployment& active,
                                             ForwardedRequest* flow) {
--- a/src/gateway/tests/forwarding_test.cc
+++ b/src/gateway/tests/forwarding_test.cc
@@ -210,6 +210,49 @@
   CHECK(this->ResponseTo(this->SendRequest("/stream/7")).status == 404);
 }
 
+// Guards against requests that are taken late in a planned stop and cut at its
+// end, among them such that may not be repeated.
+TEST_CASE_METHOD(ForwardingFixture,
+                 "forwarding, late in a shutdown, refuses what may not end in "
+                 "it as not run",
+                 "[gateway]") {
+  this->Drain();
+  this->Advance(milliseconds(3600));  // 4.1 s are left, an order takes up to 4
+  const RequestId early = this->SendRequest("/order/1");
+  this->Respond(this->Call(), 200, "done");
+  CHECK(this->ResponseTo(early).status == 200);
+  this->Advance(milliseconds(200));
+  const RequestId late = this->SendRequest("/order/2");
+  CHECK(this->TakeCalls().empty());
+  CHECK(this->ResponseTo(late).status == 503);
+  CHECK(this->ResponseTo(late).body.find("not_run") != std::string::npos);
+  CHECK(FindHeader(this->ResponseTo(late).headers, "Retry-After") != nullptr);
+  CHECK(HeaderOf(this->ResponseTo(late).headers, "Connection") == "close");
+  // A lookup, which its caller may repeat, is taken while it can be answered.
+  const RequestId lookup = this->SendRequest("/lookup/1");
+  this->Respond(this->Call(), 200, "done");
+  CHECK(this->ResponseTo(lookup).status == 200);
+  this->Advance(milliseconds(3700));
+  const RequestId last = this->SendRequest("/lookup/2");
+  CHECK(this->TakeCalls().empty());
+  CHECK(this->ResponseTo(last).status == 503);
+}
+
+TEST_CASE_METHOD(ForwardingFixture,
+                 "forwarding, order in progress at the end of a shutdown, is "
+                 "answered and not cut",
+                 "[gateway]") {
+  this->Drain();
+  this->Advance(milliseconds(3600));
+  const RequestId id = this->SendRequest("/order/1");
+  this->Call();
+  this->now += seconds(5);
+  this->Deliver(WallClockRead{});
+  CHECK(this->ResponseTo(id).ended);
+  CHECK_FALSE(this->ResponseTo(id).aborted);
+  CHECK(this->ResponseTo(id).body.find("unknown") != std::string::npos);
+}
+
 TEST_CASE_METHOD(
     ForwardingFixture,
     "forwarding, shutdown, finishes open requests and closes connections",
