--- a/src/event_loop/detail/event_loop.h
+++ b/src/event_loop/detail/event_loop.h
@@ -74,7 +74,8 @@
   absl::Status Start();
 
   /// @brief Runs until SIGTERM or SIGINT and the end of the core's graceful
-  /// shutdown. A second signal stops the loop at once.
+  /// shutdown. Further SIGTERMs are ignored; a second SIGINT, as a person sends
+  /// it, stops the loop at once.
   /// @return whether the graceful shutdown finished
   bool Run();
 
--- a/src/event_loop/event_loop.cc
+++ b/src/event_loop/event_loop.cc
@@ -233,6 +233,12 @@
           }
           if (number == SIGHUP) {
             this->hooks.reload();
+          } else if (this->draining && number == SIGTERM) {
+            // The requests in progress keep their grace period.
+            this->hooks.log(LogLine{LogLevel::kInfo,
+                                    "signal ignored",
+                                    {{"reason", "already shutting down"}}},
+                            BootNow());
           } else if (this->draining) {
             this->stopped_early = true;
             this->context.stop();
