--- a/src/discovery/detail/worker_directory.h
+++ b/src/discovery/detail/worker_directory.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
   Duration warmup_left{0};  ///< remaining time in which it is slow
   /// Unix milliseconds; identifies the incarnation of the worker with this id.
   std::int64_t started_at = 0;
+  /// Set while only another host said that it is leaving: when it did.
+  std::optional<Instant> told_leaving_at{};
 };
 
 /// @brief When the directory delays removals.
@@ -72,14 +75,24 @@
   /// @brief Adds or replaces a worker's registration.
   void Put(WorkerRegistration worker);
 
+  /// @brief Records that a worker itself says that it is leaving, which only
+  /// another host said before.
+  void ConfirmLeaving(const UpstreamId& id);
+
   /// @brief Removes a worker's registration, after an outage with a delay.
   void Remove(Instant now, const UpstreamId& id);
 
   /// @brief Removes all workers that are not listed.
   void Retain(Instant now, const std::vector<UpstreamId>& listed);
 
+  /// @return whether the removal of a worker is delayed
+  bool IsRemovalDelayed(const UpstreamId& id) const {
+    return this->delayed_removals.count(id) > 0;
+  }
+
   /// @brief Executes the delayed removals that are due.
-  void Tick(Instant now);
+  /// @return the removed workers
+  std::vector<WorkerRegistration> Tick(Instant now);
 
   /// @return the latest time at which Tick must be called
   Instant NextWakeup() const;
--- a/src/discovery/worker_directory.cc
+++ b/src/discovery/worker_directory.cc
@@ -34,6 +34,13 @@
   this->workers[id] = std::move(worker);
 }
 
+void WorkerDirectory::ConfirmLeaving(const UpstreamId& id) {
+  const auto found = this->workers.find(id);
+  if (found != this->workers.end()) {
+    found->second.told_leaving_at.reset();
+  }
+}
+
 void WorkerDirectory::Remove(Instant now, const UpstreamId& id) {
   if (now < this->delay_removals_until) {
     this->delayed_removals.emplace(id, this->delay_removals_until);
@@ -49,7 +56,10 @@
     return;
   }
   // Without the time of its start an incarnation cannot be recognized.
-  if (found->second.leaving && found->second.started_at != 0) {
+  // What another host said may have been a registration that expired.
+  const bool left =
+      found->second.leaving && !found->second.told_leaving_at.has_value();
+  if (left && found->second.started_at != 0) {
     for (auto it = this->departed.begin(); it != this->departed.end();) {
       it = now - it->second.removed_at > this->settings.departure_lifetime
                ? this->departed.erase(it)
@@ -80,16 +90,21 @@
   }
 }
 
-void WorkerDirectory::Tick(Instant now) {
+std::vector<WorkerRegistration> WorkerDirectory::Tick(Instant now) {
+  std::vector<WorkerRegistration> removed;
   for (auto it = this->delayed_removals.begin();
        it != this->delayed_removals.end();) {
     if (it->second > now) {
       ++it;
       continue;
     }
+    if (const WorkerRegistration* worker = this->Find(it->first)) {
+      removed.push_back(*worker);
+    }
     this->Erase(now, it->first);
     it = this->delayed_removals.erase(it);
   }
+  return removed;
 }
 
 Instant WorkerDirectory::NextWakeup() const {
--- a/src/gateway/detail/gateway_host.h
+++ b/src/gateway/detail/gateway_host.h
@@ -17,6 +17,16 @@
 
 namespace limpetlink {
 
+/// @brief Who said that a worker is leaving.
+enum class LeavingSource { kWorker, kNeighbour };
+
+template <>
+struct EnumTable<LeavingSource> {
+  static constexpr EnumName<LeavingSource> kRows[] = {
+      {LeavingSource::kWorker, "the worker"},
+      {LeavingSource::kNeighbour, "a neighbour"}};
+};
+
 /// @brief Combines configuration, discovery and forwarding into one core that
 /// does no I/O. It has the same interface as EntryHost.
 /// @note Example:
@@ -69,8 +79,11 @@
   Actions Collect(Instant now);
   void ApplyDeployment(Instant now, const ObjectRecord& record);
   void ApplyRegistration(Instant now, const ObjectRecord& record);
-  void MarkLeaving(Instant now, const UpstreamId& id, const char* source,
+  void MarkLeaving(Instant now, const UpstreamId& id, LeavingSource source,
                    Duration age);
+  /// @brief Takes back what other hosts said of workers whose registrations
+  /// show later that they don't leave.
+  void ExpireToldLeaving(Instant now);
   void ServeOperator(Instant now, const CallerRequest& request);
   std::string RenderRequests(Instant now) const;
   std::string RenderQuarantine(Instant now) const;
@@ -98,6 +111,7 @@
   MetadataStoreClient store;
   std::shared_ptr<const RouteTable> table;
   WorkerDirectory directory;
+  std::set<UpstreamId> told_leaving;  ///< by other hosts, may have expired
   KindWatch deployments;
   KindWatch workers;
   std::optional<KindWatch> evacuations;
--- a/src/gateway/gateway_host.cc
+++ b/src/gateway/gateway_host.cc
@@ -26,6 +26,10 @@
 // Two failed checks of the load balancer, one per second, and a margin.
 constexpr Duration kAcceptAfterDrain = std::chrono::milliseconds(3000);
 constexpr Duration kQuarantineUpdateInterval = std::chrono::milliseconds(1000);
+// What another host says of a worker that leaves counts until a registration
+// read this much later shows that the worker is ready. A worker that leaves has
+// told the store by then, or its registration has been removed.
+constexpr Duration kToldLifetime = std::chrono::milliseconds(2500);
 // Margin between the end of the last request and the platform's SIGKILL.
 constexpr Duration kKillMargin = std::chrono::milliseconds(300);
 
@@ -134,10 +138,13 @@
            },
            [this](Instant now, const UpstreamId& id) {
              const WorkerRegistration* known = this->directory.Find(id);
-             if (known != nullptr && !known->leaving) {
+             const bool is_news =
+                 known != nullptr &&
+                 (!known->leaving || known->told_leaving_at.has_value());
+             if (is_news) {
                this->neighbours.OnWorkerLeaving(now,
                                                 {id, known->started_at, {}});
-               this->MarkLeaving(now, id, "the worker", Duration{0});
+               this->MarkLeaving(now, id, LeavingSource::kWorker, Duration{0});
              }
            },
            [this](Instant now) { this->neighbours.OnStateChanged(now); },
@@ -304,7 +311,15 @@
   for (KindWatch* watch : this->watches) {
     watch->Tick(now);
   }
-  this->directory.Tick(now);
+  for (const WorkerRegistration& worker : this->directory.Tick(now)) {
+    this->Log(LogLevel::kInfo, "worker removed",
+              {{"worker", worker.id.value}, {"after", "a delay"}});
+    if (!worker.leaving) {
+      this->forwarding.OnLeaving(now, worker, now);
+    }
+    this->forwarding.RemoveWorker(worker.id);
+  }
+  this->ExpireToldLeaving(now);
   this->forwarding.Tick(now);
   this->paths.Tick(now);
   if (this->paths.Reachability().IsImpaired()) {
@@ -454,7 +469,10 @@
   const UpstreamId id{record.name};
   const WorkerRegistration* known = this->directory.Find(id);
   if (record.deleted) {
-    if (known != nullptr && !known->leaving) {
+    // After an outage of the store, live workers' registrations may have
+    // expired; they return within the delay.
+    const bool is_delayed = this->directory.RemovalDelay(now) > Duration{0};
+    if (known != nullptr && !known->leaving && !is_delayed) {
       this->neighbours.OnWorkerLeaving(now, {id, known->started_at, {}});
       // The worker keeps serving for a while.
       this->forwarding.OnLeaving(now, *known, now);
@@ -483,7 +501,13 @@
                          known->address != read->address;
   // Leaving is final for an incarnation of a worker. The worker itself may have
   // reported it before the store does.
-  read->leaving = read->leaving || (!restarted && known->leaving) ||
+  const bool told_only = !restarted && known->told_leaving_at.has_value();
+  if (told_only && !read->leaving && !this->directory.IsRemovalDelayed(id)) {
+    read->told_leaving_at = known->told_leaving_at;
+    read->leaving = true;
+  }
+  read->leaving = read->leaving ||
+                  (!restarted && known->leaving && !told_only) ||
                   this->directory.HasDeparted(id, read->started_at);
   const bool changed = restarted || known->leaving != read->leaving ||
                        known->service != read->service;
@@ -508,17 +532,53 @@
   }
 }
 
+void GatewayHost::ExpireToldLeaving(Instant now) {
+  if (this->told_leaving.empty() || !this->workers.HasSnapshot()) {
+    return;
+  }
+  const Instant proven_until = now - this->workers.Age(now);
+  for (auto it = this->told_leaving.begin(); it != this->told_leaving.end();) {
+    const WorkerRegistration* known = this->directory.Find(*it);
+    const bool is_told = known != nullptr && known->told_leaving_at.has_value();
+    if (is_told && proven_until < *known->told_leaving_at + kToldLifetime) {
+      ++it;
+      continue;
+    }
+    if (is_told && !this->directory.IsRemovalDelayed(*it)) {
+      WorkerRegistration worker = *known;
+      worker.leaving = false;
+      worker.told_leaving_at.reset();
+      this->Log(LogLevel::kWarning, "worker does not leave",
+                {{"worker", it->value},
+                 {"reason", "its registration still says that it is ready"}});
+      this->directory.Put(std::move(worker));
+    }
+    it = this->told_leaving.erase(it);
+  }
+}
+
 void GatewayHost::MarkLeaving(Instant now, const UpstreamId& id,
-                              const char* source, Duration age) {
+                              LeavingSource source, Duration age) {
   const WorkerRegistration* known = this->directory.Find(id);
-  if (known == nullptr || known->leaving) {
+  if (known == nullptr) {
+    return;
+  }
+  const bool is_told = source == LeavingSource::kNeighbour;
+  if (known->leaving) {
+    if (known->told_leaving_at.has_value() && !is_told) {
+      this->directory.ConfirmLeaving(id);
+    }
     return;
   }
   WorkerRegistration worker = *known;
   worker.leaving = true;
+  if (is_told) {
+    worker.told_leaving_at = now;
+    this->told_leaving.insert(id);
+  }
   this->Log(LogLevel::kInfo, "worker leaves",
             {{"worker", id.value},
-             {"told_by", source},
+             {"told_by", std::string(ToText(source))},
              {"noticed_ms_ago", MillisecondsText(age)},
              {"registrations_age_ms", AgeText(this->workers, now)}});
   this->directory.Put(worker);
--- a/src/gateway/gateway_neighbours.cc
+++ b/src/gateway/gateway_neighbours.cc
@@ -131,7 +131,8 @@
   hooks.worker_leaving = [this](Instant now, const LeavingWorker& worker) {
     const WorkerRegistration* known = this->directory.Find(worker.worker);
     if (known != nullptr && known->started_at == worker.started_at) {
-      this->MarkLeaving(now, worker.worker, "a neighbour", worker.age);
+      this->MarkLeaving(now, worker.worker, LeavingSource::kNeighbour,
+                        worker.age);
     }
   };
   return hooks;
